--- a/src/bin/ochremoor-wirehost/frame.rs
+++ b/src/bin/raildeal-drill/frame.rs
@@ -1,6 +1,6 @@
 //! Codec of the wire: big-endian frames in, big-endian replies out. No decision is made here.
 
-use ochremoor::{Condition, Endpoint, Listing, Message, Outcome};
+use raildeal::{Condition, Endpoint, Listing, Message, Outcome};
 use std::fmt;
 
 /// Longest frame taken; a batch may be megabytes, never gigabytes.
@@ -262,8 +262,8 @@
         self.out.extend(e.port.to_be_bytes());
     }
 
-    pub fn action(&mut self, relay: u16, action: &ochremoor::Action) {
-        use ochremoor::Action::*;
+    pub fn action(&mut self, relay: u16, action: &raildeal::Action) {
+        use raildeal::Action::*;
         if self.relay != Some(relay) {
             self.relay = Some(relay);
             self.out.push(3);
--- a/src/bin/ochremoor-wirehost/main.rs
+++ b/src/bin/raildeal-drill/main.rs
@@ -5,7 +5,7 @@
 mod settings;
 
 use frame::{body_len, Reader, Record, WireError, Writer};
-use ochremoor::{Event, Listing, Relay, Time};
+use raildeal::{Event, Listing, Relay, Time};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 
@@ -132,7 +132,7 @@
 
 fn main() {
     if let Err(e) = run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
-        eprintln!("ochremoor-wirehost: {e}");
+        eprintln!("raildeal-drill: {e}");
         std::process::exit(1);
     }
 }
--- a/src/bin/ochremoor-wirehost/settings.rs
+++ b/src/bin/raildeal-drill/settings.rs
@@ -1,6 +1,6 @@
 //! Reads the path=value settings of the wire. Unknown keys are skipped; no decision is made here.
 
-use ochremoor::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, Tenant};
+use raildeal::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, Tenant};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings and a small driver shared by the tests: it keeps the clock and hands events in.
 #![allow(dead_code)]
 
-use ochremoor::*;
+use raildeal::*;
 
 pub const MS: Time = 1_000_000;
 pub const SEC: Time = 1_000 * MS;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ochremoor::*;
+use raildeal::*;
 
 fn one() -> Driver {
     let mut d = Driver::new(settings(), vec![ready(1, 1)]);
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ochremoor::*;
+use raildeal::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 struct Rng(u64);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ochremoor-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_raildeal-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
