--- a/src/bin/raildeal-drill/main.rs
+++ b/src/bin/raildeal-drill/main.rs
@@ -2,10 +2,9 @@
 //! Instances share nothing; no decision is made here.
 
 mod frame;
-mod settings;
 
 use frame::{body_len, Reader, Record, WireError, Writer};
-use raildeal::{Event, Listing, Relay, Time};
+use raildeal::{settings, Event, Listing, Relay, Time};
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 
@@ -38,8 +37,9 @@
                 }
                 Record::Born { seed, env } => {
                     let n = at.ok_or_else(|| fault("BORN before any INSTANCE".into()))?;
-                    let settings = settings::parse(env).map_err(|e| fault(format!("BORN: {e}")))?;
-                    let relay = Relay::new(settings, seed).map_err(|e| fault(format!("BORN: {e}")))?;
+                    let settings = settings::from_lines(env).map_err(|e| fault(format!("BORN: {e}")))?;
+                    let relay =
+                        Relay::new(settings.settings, seed).map_err(|e| fault(format!("BORN: {e}")))?;
                     self.relays.insert(n, relay);
                     self.pending.insert(n, Vec::new());
                     continue;
--- /dev/null
+++ b/src/core/desk.rs
@@ -0,0 +1,273 @@
+//! The one place that asks the decision module. Events go in, each in a turn of its own, and the actions come out at
+//! the messages and providers that they are for. Sole owner of the relay and of message ids.
+
+use super::directory::{Directory, News, Provider};
+use super::wheel::Wheel;
+use super::{span, Report};
+use crate::{Action, Endpoint, Event, Message, MessageId, Outcome, Past, Relay, Time};
+use async_channel::{Receiver, Sender};
+use futures_lite::{future, FutureExt};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The module's clock at the start: spans reach back beyond it when a message from an earlier life is taken up.
+const EPOCH: Duration = Duration::from_secs(3600);
+
+/// What the module wants done about one message.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Order {
+    /// Call a provider.
+    Call {
+        /// The provider.
+        endpoint: Endpoint,
+        /// Time-out of the call.
+        timeout: Time,
+    },
+    /// The message is over; its client may hand it in again after this time (0: nothing advised).
+    Reject {
+        /// The advised wait.
+        retry_after: Time,
+    },
+    /// The message is over, failed.
+    Fail,
+}
+
+/// What the module wants done that is about no message.
+pub trait Hands {
+    /// Close the connections to a provider that carry no call.
+    fn close_idle(&self, provider: &Provider);
+    /// Ask the directory for changes.
+    fn watch_list(&self);
+}
+
+struct Inner {
+    relay: Relay,
+    next_id: MessageId,
+    tickets: HashMap<MessageId, Sender<Order>>,
+    actions: Vec<Action>,
+    wake_at: Option<Instant>,
+}
+
+/// The desk.
+pub struct Desk {
+    inner: RefCell<Inner>,
+    start: Instant,
+    alarm: (Sender<()>, Receiver<()>),
+    directory: Rc<Directory>,
+    hands: Rc<dyn Hands>,
+    halted: Cell<bool>,
+    calls: Cell<usize>,
+    idle: (Sender<()>, Receiver<()>),
+}
+
+impl Desk {
+    /// A desk over a fresh relay.
+    pub fn new(relay: Relay, directory: Rc<Directory>, hands: Rc<dyn Hands>) -> Rc<Self> {
+        let (tickets, actions) = (HashMap::new(), Vec::new());
+        Rc::new(Desk {
+            inner: RefCell::new(Inner { relay, next_id: 0, tickets, actions, wake_at: None }),
+            start: Instant::now(),
+            alarm: async_channel::bounded(1),
+            directory,
+            hands,
+            halted: Cell::new(false),
+            calls: Cell::new(0),
+            idle: async_channel::bounded(1),
+        })
+    }
+
+    /// Wakes the module when it asked for it; runs for ever.
+    pub async fn keep_time(&self, wheel: &Rc<Wheel>) {
+        loop {
+            let at = self.inner.borrow().wake_at;
+            let due = async {
+                match at {
+                    Some(at) => wheel.until(at).await,
+                    None => future::pending().await,
+                }
+                true
+            };
+            let moved = async {
+                let _ = self.alarm.1.recv().await;
+                false
+            };
+            if due.or(moved).await {
+                self.inner.borrow_mut().wake_at = None;
+                self.turn(Event::Woken);
+            }
+        }
+    }
+
+    /// Messages held.
+    pub fn held(&self) -> usize {
+        self.inner.borrow().tickets.len()
+    }
+
+    /// Takes news of the list in.
+    pub fn list(&self, news: &News) {
+        if let Some((event, left)) = self.directory.take(news) {
+            left.iter().for_each(|p| self.hands.close_idle(p));
+            self.turn(event);
+        }
+    }
+
+    /// The directory could not be asked, or stopped telling.
+    pub fn list_failed(&self) {
+        self.turn(Event::ListFailed);
+    }
+
+    /// Brings a message before the module. Its orders come to the ticket, the first ones at once.
+    pub fn enter(self: &Rc<Self>, message: Message, past: Option<Past>) -> Ticket {
+        let (sender, orders) = async_channel::unbounded();
+        let id = {
+            let mut inner = self.inner.borrow_mut();
+            // Ids come round after 2^32 messages; one that is still held is passed over.
+            loop {
+                inner.next_id = inner.next_id.wrapping_add(1);
+                if !inner.tickets.contains_key(&inner.next_id) {
+                    break;
+                }
+            }
+            let id = inner.next_id;
+            inner.tickets.insert(id, sender);
+            id
+        };
+        let message = Message { id, ..message };
+        self.turn(match past {
+            None => Event::Arrived(message),
+            Some(past) => Event::Resumed { message, past },
+        });
+        let attempts = past.unwrap_or_default().attempts;
+        Ticket { desk: self.clone(), id, orders, attempts, out: None, over: false }
+    }
+
+    /// Asks the module nothing more: what is out may end, nothing new begins.
+    pub fn halt(&self) {
+        self.halted.set(true);
+    }
+
+    /// Waits until no call is out.
+    pub async fn calls_ended(&self) {
+        while self.calls.get() > 0 {
+            let _ = self.idle.1.recv().await;
+        }
+    }
+
+    fn now(&self) -> Time {
+        (EPOCH + self.start.elapsed()).as_nanos() as Time
+    }
+
+    /// One turn of the module. Orders are only laid out here; their invocations act on them later, so no turn begins
+    /// within another.
+    fn turn(&self, event: Event) {
+        if self.halted.get() {
+            return;
+        }
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        let mut actions = std::mem::take(&mut inner.actions);
+        inner.relay.handle(self.now(), &[event], &mut actions);
+        for action in actions.drain(..) {
+            let (id, order) = match action {
+                Action::Send { id, endpoint, timeout } => (id, Order::Call { endpoint, timeout }),
+                Action::Refuse { id, retry_after } => (id, Order::Reject { retry_after }),
+                Action::Fail { id } => (id, Order::Fail),
+                Action::CloseIdle { endpoint } => {
+                    if let Some(p) = self.directory.provider(endpoint) {
+                        self.hands.close_idle(&p);
+                    }
+                    continue;
+                }
+                Action::WatchList => {
+                    self.hands.watch_list();
+                    continue;
+                }
+                Action::WakeAfter(after) => {
+                    inner.wake_at = Some(Instant::now() + span(after));
+                    let _ = self.alarm.0.try_send(());
+                    continue;
+                }
+                Action::Log(line) => {
+                    log::info!("module: {line}");
+                    continue;
+                }
+                // Providers are never probed.
+                Action::Probe { .. } => continue,
+            };
+            match inner.tickets.get(&id) {
+                // An unbounded channel is never full, and a closed one has lost its message.
+                Some(ticket) => drop(ticket.try_send(order)),
+                None => log::error!("desk: {order:?} for message {id}, which is not held"),
+            }
+        }
+        inner.actions = actions;
+    }
+}
+
+/// A message's place at the desk; dropped, it is given back and the module forgets the message.
+pub struct Ticket {
+    desk: Rc<Desk>,
+    id: MessageId,
+    orders: Receiver<Order>,
+    attempts: u16,
+    /// Number and start of the call that is out.
+    out: Option<(u16, Instant)>,
+    over: bool,
+}
+
+impl Ticket {
+    /// The next order, if it is there already.
+    pub fn ready(&mut self) -> Option<Order> {
+        let order = self.orders.try_recv().ok()?;
+        Some(self.begin(order))
+    }
+
+    /// The next order. Waits for ever at a halted desk.
+    pub async fn next(&mut self) -> Order {
+        match self.orders.recv().await {
+            Ok(order) if !self.desk.halted.get() => self.begin(order),
+            _ => future::pending().await,
+        }
+    }
+
+    fn begin(&mut self, order: Order) -> Order {
+        if let Order::Call { .. } = order {
+            self.out = Some((self.attempts, Instant::now()));
+            self.attempts += 1;
+            self.desk.calls.set(self.desk.calls.get() + 1);
+        } else {
+            self.over = true;
+        }
+        order
+    }
+
+    /// Tells the module how the call that is out ended.
+    pub fn report(&mut self, report: Report) {
+        let Some((attempt, sent)) = self.out.take() else { return };
+        self.desk.calls.set(self.desk.calls.get() - 1);
+        let _ = self.desk.idle.0.try_send(());
+        self.over |= report.over;
+        self.desk.turn(Event::Ended {
+            id: self.id,
+            attempt,
+            outcome: report.outcome,
+            took: sent.elapsed().as_nanos() as Time,
+            finished: report.over,
+            report: report.load,
+        });
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.over {
+            self.desk.turn(Event::Withdrawn(self.id));
+        }
+        // An order to call that was never begun holds a slot too.
+        while self.out.is_none() && self.ready().is_some() {}
+        self.report(Report { over: true, ..Outcome::Moot.into() });
+        self.desk.inner.borrow_mut().tickets.remove(&self.id);
+    }
+}
--- /dev/null
+++ b/src/core/directory.rs
@@ -0,0 +1,270 @@
+//! The list of providers as last told, and whether a call may start at one of them now.
+
+use crate::{Condition, DestId, Endpoint, Event, Kind, Listing};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// What the provider is known by; a machine that replaces it has another.
+    pub uid: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone, by name.
+    pub zone: String,
+    /// Its kind, by name.
+    pub kind: String,
+    /// Its destination.
+    pub dest: DestId,
+    /// Its condition.
+    pub condition: Condition,
+    /// Calls a second that it takes, as far as the settings say.
+    pub rate: f32,
+}
+
+/// What a directory has to say.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// Version of the list that this leads to.
+    pub rev: u64,
+    /// The whole list; what is not in it is gone.
+    pub whole: bool,
+    /// The lines.
+    pub entries: Vec<Entry>,
+}
+
+/// A provider, as listed.
+#[derive(Clone, Debug)]
+pub struct Provider {
+    /// The module's name for it.
+    pub endpoint: Endpoint,
+    /// The line of the list.
+    pub entry: Entry,
+    /// Zone, by number.
+    pub zone: u16,
+    /// Kind, by number.
+    pub kind: u16,
+}
+
+/// Whom a told wait binds.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Gate {
+    Provider(Endpoint),
+    Destination(DestId),
+}
+
+/// Owner of the list.
+pub struct Directory {
+    rev: Cell<Option<u64>>,
+    handles: RefCell<HashMap<String, Endpoint>>,
+    named: Cell<u32>,
+    providers: RefCell<BTreeMap<Endpoint, Rc<Provider>>>,
+    waits: RefCell<BTreeMap<Gate, Instant>>,
+    zones: RefCell<Vec<String>>,
+    kinds: Vec<String>,
+    apart: Vec<bool>,
+}
+
+impl Directory {
+    /// An empty list; zones and kinds are numbered as in the settings.
+    pub fn new(zones: &[String], names: &[String], kinds: &[Kind]) -> Self {
+        Directory {
+            rev: Cell::default(),
+            handles: RefCell::default(),
+            named: Cell::default(),
+            providers: RefCell::default(),
+            waits: RefCell::default(),
+            zones: RefCell::new(zones.to_vec()),
+            kinds: names.to_vec(),
+            apart: kinds.iter().map(|k| k.apart).collect(),
+        }
+    }
+
+    /// Version of the list held.
+    pub fn rev(&self) -> Option<u64> {
+        self.rev.get()
+    }
+
+    /// Takes news in and says what the module is to be told, and which providers are wanted no more. Nothing, where
+    /// the news is older than what is held: late news undoes nothing.
+    pub fn take(&self, news: &News) -> Option<(Event, Vec<Rc<Provider>>)> {
+        let old = self.rev.get().is_some_and(|r| news.rev < r || news.rev == r && !news.whole);
+        if old {
+            log::debug!("directory: rev {} is not newer than {:?}", news.rev, self.rev.get());
+            return None;
+        }
+        let first = self.rev.replace(Some(news.rev)).is_none();
+        let mut providers = self.providers.borrow_mut();
+        let mut left: Vec<Rc<Provider>> = Vec::new();
+        if news.whole {
+            let listed: Vec<Endpoint> = news.entries.iter().map(|e| self.handle(&e.uid)).collect();
+            left.extend(providers.iter().filter(|(e, _)| !listed.contains(e)).map(|(_, p)| p.clone()));
+            for p in &left {
+                providers.remove(&p.endpoint);
+                log::info!("directory: provider {} ({:?}) is listed no more", p.entry.uid, p.endpoint.addr);
+                self.handles.borrow_mut().remove(&p.entry.uid);
+            }
+        }
+        let mut lines = Vec::with_capacity(news.entries.len());
+        for entry in &news.entries {
+            let endpoint = self.handle(&entry.uid);
+            let provider = Rc::new(Provider {
+                endpoint,
+                zone: self.zone(&entry.zone),
+                kind: self.kind(&entry.kind),
+                entry: entry.clone(),
+            });
+            lines.push(Listing {
+                endpoint,
+                zone: provider.zone,
+                kind: provider.kind,
+                dest: entry.dest,
+                condition: entry.condition,
+                rate: entry.rate,
+            });
+            let before = providers.insert(endpoint, provider.clone());
+            let was = before.as_ref().map(|p| (p.entry.condition, p.entry.address));
+            if was != Some((entry.condition, entry.address)) {
+                let Entry { uid, address, condition, dest, .. } = entry;
+                log::info!(
+                    "directory: provider {uid} ({:?}) at {address}, dest {dest}: {condition:?}",
+                    endpoint.addr
+                );
+                left.extend(before.filter(|p| p.entry.address != entry.address));
+            }
+            if entry.condition == Condition::Gone {
+                providers.remove(&endpoint);
+                self.handles.borrow_mut().remove(&entry.uid);
+            }
+            if entry.condition != Condition::Ready {
+                left.push(provider);
+            }
+        }
+        let event = match (news.whole, first) {
+            (true, true) => Event::CachedList(lines),
+            (true, false) => Event::List(lines),
+            (false, _) => Event::ListChanges(lines),
+        };
+        Some((event, left))
+    }
+
+    /// The provider that the module means.
+    pub fn provider(&self, endpoint: Endpoint) -> Option<Rc<Provider>> {
+        self.providers.borrow().get(&endpoint).cloned()
+    }
+
+    /// Notes a wait that a provider told.
+    pub fn told_wait(&self, provider: &Provider, until: Instant) {
+        let mut waits = self.waits.borrow_mut();
+        waits.retain(|_, until| *until > Instant::now());
+        let wait = waits.entry(self.gate(provider)).or_insert(until);
+        *wait = until.max(*wait);
+    }
+
+    /// Whether a call may start now: the provider is still wanted and no wait that it told is running. Asked right
+    /// before the first byte, because the list and the waits may change while a connection comes up.
+    pub fn admits(&self, endpoint: Endpoint, now: Instant) -> bool {
+        let Some(p) = self.provider(endpoint) else { return false };
+        let waits = self.waits.borrow().get(&self.gate(&p)).is_some_and(|until| now < *until);
+        p.entry.condition == Condition::Ready && !waits
+    }
+
+    /// Number of a zone.
+    pub fn zone(&self, name: &str) -> u16 {
+        let mut zones = self.zones.borrow_mut();
+        let at = zones.iter().position(|z| z == name).unwrap_or_else(|| {
+            zones.push(name.to_string());
+            zones.len() - 1
+        });
+        at as u16
+    }
+
+    fn gate(&self, p: &Provider) -> Gate {
+        let apart = self.apart.get(usize::from(p.kind)).copied().unwrap_or(false);
+        if apart {
+            Gate::Provider(p.endpoint)
+        } else {
+            Gate::Destination(p.entry.dest)
+        }
+    }
+
+    fn kind(&self, name: &str) -> u16 {
+        self.kinds.iter().position(|k| k == name).unwrap_or(self.kinds.len()) as u16
+    }
+
+    /// A name of the module's own for each uid: addresses may be used again by a machine that replaces another.
+    fn handle(&self, uid: &str) -> Endpoint {
+        let mut handles = self.handles.borrow_mut();
+        *handles.entry(uid.to_string()).or_insert_with(|| {
+            self.named.set(self.named.get() + 1);
+            Endpoint { addr: self.named.get().to_be_bytes(), port: 0 }
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    fn entry(uid: &str, condition: Condition) -> Entry {
+        let address = "127.0.0.1:9000".parse().expect("an address");
+        let kind = "small".to_string();
+        Entry { uid: uid.into(), address, zone: "a".into(), kind, dest: 3, condition, rate: 1.0 }
+    }
+
+    fn news(rev: u64, whole: bool, entries: Vec<Entry>) -> News {
+        News { rev, whole, entries }
+    }
+
+    fn directory(apart: bool) -> Directory {
+        Directory::new(&[], &["small".into()], &[Kind { apart, batch: 1 }])
+    }
+
+    #[test]
+    fn older_news_undoes_nothing() {
+        let d = directory(true);
+        d.take(&news(5, true, vec![entry("x", Condition::Draining)])).expect("first list");
+        assert!(d.take(&news(4, true, vec![entry("x", Condition::Ready)])).is_none());
+        assert!(d.take(&news(5, false, vec![entry("x", Condition::Ready)])).is_none());
+        assert!(!d.admits(d.handle("x"), Instant::now()));
+        assert!(d.take(&news(6, false, vec![entry("x", Condition::Ready)])).is_some());
+        assert!(d.admits(d.handle("x"), Instant::now()));
+    }
+
+    #[test]
+    fn what_a_whole_list_leaves_out_is_gone() {
+        let d = directory(true);
+        d.take(&news(1, true, vec![entry("x", Condition::Ready), entry("y", Condition::Ready)]));
+        let (_, left) = d.take(&news(2, true, vec![entry("y", Condition::Ready)])).expect("newer");
+        assert_eq!(left.iter().map(|p| p.entry.uid.as_str()).collect::<Vec<_>>(), ["x"]);
+        assert!(!d.admits(d.handle("x"), Instant::now()) && d.admits(d.handle("y"), Instant::now()));
+    }
+
+    #[test]
+    fn a_wait_binds_the_route_or_the_whole_destination() {
+        for (apart, other_is_free) in [(true, true), (false, false)] {
+            let d = directory(apart);
+            d.take(&news(1, true, vec![entry("x", Condition::Ready), entry("y", Condition::Ready)]));
+            let (now, wait) = (Instant::now(), Duration::from_secs(2));
+            let x = d.provider(d.handle("x")).expect("listed");
+            d.told_wait(&x, now + wait);
+            d.told_wait(&x, now + wait / 2); // a shorter one later does not end it
+            assert!(!d.admits(x.endpoint, now + wait / 2));
+            assert_eq!(d.admits(d.handle("y"), now), other_is_free);
+            assert!(d.admits(x.endpoint, now + wait));
+        }
+    }
+
+    #[test]
+    fn a_machine_at_an_address_used_before_is_another_provider() {
+        let d = directory(true);
+        d.take(&news(1, true, vec![entry("x", Condition::Ready)]));
+        d.take(&news(2, false, vec![entry("x", Condition::Gone), entry("z", Condition::Ready)]));
+        assert!(!d.admits(d.handle("x"), Instant::now()) && d.admits(d.handle("z"), Instant::now()));
+    }
+}
--- /dev/null
+++ b/src/core/invocation.rs
@@ -0,0 +1,226 @@
+//! The life of one message, top to bottom: taken on, written down, brought before the module, called, reported,
+//! answered, closed.
+
+use super::desk::{Desk, Order, Ticket};
+use super::directory::Directory;
+use super::journal::{Journal, Record, Sent, Unwritten};
+use super::wheel::Wheel;
+use super::{span, unix_ms, Envelope, Front, Invoker, Local, Report, Verdict};
+use crate::{Effect, Endpoint, Message, Outcome, Past, Settings, Time};
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What a client turned away for want of room is told: about what one call takes.
+const NO_ROOM_WAIT: Duration = Duration::from_millis(500);
+
+/// The answer that a client waits for when it hands a message in.
+pub trait Reply {
+    /// Taken on. Fails if the client cannot have heard it.
+    fn taken_on<'a>(self: Box<Self>) -> Local<'a, io::Result<()>>;
+    /// Rejected: handing it in again is harmless, best after the wait.
+    fn rejected<'a>(self: Box<Self>, wait: Duration) -> Local<'a, ()>;
+    /// Failed for good.
+    fn failed<'a>(self: Box<Self>) -> Local<'a, ()>;
+}
+
+/// What invocations work with.
+pub struct House {
+    /// The settings.
+    pub settings: Settings,
+    /// The module's desk.
+    pub desk: Rc<Desk>,
+    /// The journal.
+    pub journal: Rc<Journal>,
+    /// The list of providers.
+    pub directory: Rc<Directory>,
+    /// Makes the calls.
+    pub invoker: Rc<dyn Invoker>,
+    /// Those that messages come from, by [`Envelope::front`].
+    pub fronts: Vec<Rc<dyn Front>>,
+    /// The timers.
+    pub wheel: Rc<Wheel>,
+}
+
+/// Serves a message that was just handed in.
+pub async fn serve(house: Rc<House>, envelope: Envelope, left: Duration, reply: Box<dyn Reply>) {
+    let started = Instant::now();
+    if house.desk.held() >= house.settings.room as usize {
+        log::debug!("{}: rejected, no room", envelope.id);
+        return reply.rejected(house.patience(NO_ROOM_WAIT)).await;
+    }
+    let envelope = Rc::new(envelope);
+    let expires_ms = unix_ms() + left.as_millis() as u64;
+    let record = match house.journal.take_on(envelope.clone(), expires_ms) {
+        Ok(record) => record,
+        Err(e) => {
+            log::warn!("{}: rejected, journal: {}", envelope.id, reason(&e));
+            return reply.rejected(house.patience(NO_ROOM_WAIT)).await;
+        }
+    };
+    let mut ticket = house.desk.enter(message(&envelope, left), None);
+    let first = ticket.ready();
+    match first {
+        Some(Order::Reject { retry_after }) => {
+            record.close();
+            return reply.rejected(span(retry_after)).await;
+        }
+        Some(Order::Fail) => {
+            record.close();
+            return reply.failed().await;
+        }
+        Some(Order::Call { .. }) | None => {}
+    }
+    if let Err(e) = reply.taken_on().await {
+        // Its client will hand it in again: what is done under this id counts for nothing.
+        log::debug!("{}: not heard that it is taken on: {e}", envelope.id);
+        return record.close();
+    }
+    deliver(&house, &envelope, record, ticket, first, started + left).await;
+}
+
+/// Takes up a message that an earlier process took on.
+pub async fn resume(house: Rc<House>, record: Record) {
+    let account = record.account();
+    let envelope = account.envelope.clone();
+    if let Some(verdict) = account.verdict {
+        return answer(&house, &envelope, record, verdict).await;
+    }
+    let left = Duration::from_millis(account.expires_ms.saturating_sub(unix_ms()));
+    let ran = account.may_have_run().map(|s| (age(s).as_nanos() as Time, house.directory.zone(&s.zone)));
+    log::debug!(
+        "{}: taken up with {left:?} left, {} calls made, ran: {ran:?}",
+        envelope.id,
+        account.attempts
+    );
+    record.back(true);
+    let past = Past { attempts: account.attempts, ran };
+    let mut ticket = house.desk.enter(message(&envelope, left), Some(past));
+    let first = ticket.ready();
+    deliver(&house, &envelope, record, ticket, first, Instant::now() + left).await;
+}
+
+/// Calls as the module orders until the message is over, then gives the final answer.
+async fn deliver(
+    house: &House,
+    envelope: &Envelope,
+    record: Record,
+    mut ticket: Ticket,
+    mut first: Option<Order>,
+    deadline: Instant,
+) {
+    let verdict = loop {
+        let order = match first.take() {
+            Some(order) => order,
+            None => ticket.next().await,
+        };
+        match order {
+            Order::Call { endpoint, timeout } => {
+                let report = call(house, envelope, &record, endpoint, span(timeout), deadline).await;
+                let over = report.over;
+                let delivered = report.outcome == Outcome::Ok;
+                if let Outcome::Full { wait } = report.outcome {
+                    note_wait(house, endpoint, span(wait));
+                }
+                ticket.report(report);
+                if delivered {
+                    break Verdict::Delivered;
+                }
+                if over {
+                    // Withdrawn or out of time, as the other side knows: nothing is owed.
+                    return record.close();
+                }
+            }
+            Order::Reject { retry_after } => {
+                break Verdict::Deferred { again_ms: span(retry_after).as_millis() as u64 }
+            }
+            Order::Fail => break Verdict::Undeliverable,
+        }
+    };
+    drop(ticket);
+    record.ended(verdict);
+    answer(house, envelope, record, verdict).await;
+}
+
+/// One invoker call, with its lines in the journal.
+async fn call(
+    house: &House,
+    envelope: &Envelope,
+    record: &Record,
+    endpoint: Endpoint,
+    timeout: Duration,
+    deadline: Instant,
+) -> Report {
+    let Some(provider) = house.directory.provider(endpoint) else { return Outcome::Moot.into() };
+    let went = Cell::new(false);
+    // A connection may take its time to come up: what the module saw when it chose is looked at once more.
+    let go = || {
+        let allowed = house.directory.admits(endpoint, Instant::now())
+            && Instant::now() < deadline
+            && house.may_repeat(envelope, record.ran().as_ref(), provider.zone);
+        went.set(allowed && record.sent(&provider.entry.zone).is_ok());
+        went.get()
+    };
+    let report = house.invoker.call(provider.clone(), envelope, timeout, &go).await;
+    if went.get() {
+        record.back(matches!(
+            report.outcome,
+            Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled
+        ));
+    }
+    log::debug!("{}: {} {:?}", envelope.id, provider.entry.uid, report.outcome);
+    report
+}
+
+/// Passes the final answer on and closes the record.
+async fn answer(house: &House, envelope: &Envelope, record: Record, verdict: Verdict) {
+    match house.fronts.get(usize::from(envelope.front)) {
+        Some(front) => front.tell(envelope, verdict).await,
+        None => log::error!("{}: its front is not set up any more; {verdict:?} is not told", envelope.id),
+    }
+    record.close();
+}
+
+fn note_wait(house: &House, endpoint: Endpoint, wait: Duration) {
+    if let Some(p) = house.directory.provider(endpoint).filter(|_| !wait.is_zero()) {
+        house.directory.told_wait(&p, Instant::now() + wait);
+    }
+}
+
+fn message(envelope: &Envelope, left: Duration) -> Message {
+    let ttl = left.as_nanos() as Time;
+    Message { class: envelope.class, dest: envelope.dest, ttl, ..Message::default() }
+}
+
+fn age(sent: &Sent) -> Duration {
+    Duration::from_millis(unix_ms().saturating_sub(sent.at_ms))
+}
+
+fn reason(e: &Unwritten) -> String {
+    match e {
+        Unwritten::Full => "no room".into(),
+        Unwritten::Io(e) => e.to_string(),
+    }
+}
+
+impl House {
+    /// A wait, as far as clients heed one.
+    fn patience(&self, wait: Duration) -> Duration {
+        wait.min(span(self.settings.max_retry_after))
+    }
+
+    /// Whether a keyed message that may have run may go to this zone now.
+    fn may_repeat(&self, envelope: &Envelope, ran: Option<&Sent>, zone: u16) -> bool {
+        let Some(class) = self.settings.classes.get(usize::from(envelope.class)) else { return false };
+        let Some(ran) = ran else { return true };
+        match class.effect {
+            Effect::Pure => true,
+            Effect::SideEffect => false,
+            Effect::Token => {
+                let near = class.scope == crate::DedupScope::All || self.directory.zone(&ran.zone) == zone;
+                near && age(ran) < span(class.window)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,103 @@
+//! The sender without a wire: what is taken on, asked of the module, called, answered and remembered.
+//!
+//! A front hands messages in ([`invocation::Reply`]) and passes final answers on ([`Front`]); an [`Invoker`] makes one
+//! call to one provider. Nothing here names a protocol.
+
+pub mod desk;
+pub mod directory;
+pub mod invocation;
+pub mod journal;
+pub mod wheel;
+
+use crate::{Outcome, Time};
+use directory::Provider;
+use futures_lite::Future;
+use serde::{Deserialize, Serialize};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A future of this one thread.
+pub type Local<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// A message as it was handed in; passed on unchanged.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Which front it came by, as a position in [`invocation::House::fronts`].
+    pub front: u8,
+    /// The id that its client gave it.
+    pub id: String,
+    /// What repeats are known by, in a keyed class.
+    pub key: Option<String>,
+    /// Class, as a position in the settings.
+    pub class: u16,
+    /// Destination.
+    pub dest: u16,
+    /// Where its front sends the final answer; the front's own form.
+    pub reply_to: Vec<u8>,
+    /// Any bytes.
+    pub body: Vec<u8>,
+}
+
+/// How a message that was taken on ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// A provider took it.
+    Delivered,
+    /// Given up unseen; may be handed in again after so many milliseconds.
+    Deferred {
+        /// The advised wait; 0 for none.
+        again_ms: u64,
+    },
+    /// Failed for good.
+    Undeliverable,
+}
+
+/// Passes final answers on to those who handed messages in.
+pub trait Front {
+    /// Tells the verdict, as often as it takes; done once it is known to have arrived or is owed no more.
+    fn tell<'a>(&'a self, envelope: &'a Envelope, verdict: Verdict) -> Local<'a, ()>;
+}
+
+/// What came of an invoker call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Nothing more is owed for the message, delivered or not.
+    pub over: bool,
+    /// Load report, or nothing.
+    pub load: Vec<f32>,
+}
+
+impl From<Outcome> for Report {
+    fn from(outcome: Outcome) -> Self {
+        Report { outcome, over: outcome == Outcome::Ok, load: Vec::new() }
+    }
+}
+
+/// Makes invoker calls, one message each, over connections that it owns.
+pub trait Invoker {
+    /// Calls a provider. `go` is asked right before the first byte; where it says no, nothing is sent and the outcome
+    /// is moot. When this returns, or is dropped, the provider can see that the call is no longer out.
+    fn call<'a>(
+        &'a self,
+        provider: Rc<Provider>,
+        envelope: &'a Envelope,
+        timeout: Duration,
+        go: &'a dyn Fn() -> bool,
+    ) -> Local<'a, Report>;
+
+    /// Closes the connections to a provider that carry no call.
+    fn close_idle(&self, provider: &Provider);
+}
+
+/// Milliseconds since 1970.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// A span of the module's.
+pub fn span(t: Time) -> Duration {
+    Duration::from_nanos(t)
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -225,6 +225,15 @@
     pub dest: DestId,
 }
 
+/// What an earlier life of a relay did for a message.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Past {
+    /// Attempts made; the next one is numbered so.
+    pub attempts: u16,
+    /// How long ago the first attempt that may have run was sent, and its zone.
+    pub ran: Option<(Time, u16)>,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -262,6 +271,13 @@
     ListFailed,
     /// A message was handed in.
     Arrived(Message),
+    /// A message that an earlier life of this relay took on and still owes its end.
+    Resumed {
+        /// The message; its time left is that of now.
+        message: Message,
+        /// What came of it before.
+        past: Past,
+    },
     /// An attempt ended.
     Ended {
         /// The message.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,15 @@
 //! The decisions of a dispatcher of notifications to outside receivers.
 //!
-//! [`policy`] holds every decision, [`interface`] the plain types it takes and gives back.
+//! [`policy`] holds every decision, [`interface`] the plain types it takes and gives back. Round it, [`core`] is the
+//! sender without a wire and [`net`] its fronts on sockets.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod core;
 pub mod interface;
+pub mod net;
 pub mod policy;
+pub mod settings;
 mod state;
 
 pub use interface::*;
--- /dev/null
+++ b/src/net/platform/http.rs
@@ -0,0 +1,257 @@
+//! HTTP/1.1 as far as the platform speaks it: heads by httparse, bodies by length, by chunks or to the end.
+
+use crate::net::stream::Stream;
+use std::io;
+
+/// Longest head taken.
+const MAX_HEAD: usize = 16 * 1024;
+/// Longest body taken.
+pub const MAX_BODY: usize = 64 * 1024;
+/// Longest line of a chunked body that only tells a size.
+const MAX_CHUNK_LINE: usize = 1024;
+
+/// Input that breaks the protocol, with the status that says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bad(pub u16, pub &'static str);
+
+impl From<Bad> for io::Error {
+    fn from(bad: Bad) -> Self {
+        io::Error::new(io::ErrorKind::InvalidData, bad.1)
+    }
+}
+
+/// Headers by lower-case name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Headers(Vec<(String, String)>);
+
+impl Headers {
+    fn read(lines: &[httparse::Header<'_>]) -> Result<Self, Bad> {
+        let read = |h: &httparse::Header<'_>| {
+            let value = std::str::from_utf8(h.value).map_err(|_| Bad(400, "a header is not text"))?;
+            Ok((h.name.to_ascii_lowercase(), value.trim().to_string()))
+        };
+        lines.iter().map(read).collect::<Result<_, _>>().map(Headers)
+    }
+
+    /// The first header of a name.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    fn says(&self, name: &str, word: &str) -> bool {
+        let mut values = self.0.iter().filter(|(n, _)| n == name);
+        values.any(|(_, v)| v.split(',').any(|w| w.trim().eq_ignore_ascii_case(word)))
+    }
+
+    fn length(&self) -> Result<Option<usize>, Bad> {
+        let mut lengths = self.0.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v);
+        let Some(first) = lengths.next() else { return Ok(None) };
+        let digits = !first.is_empty() && first.bytes().all(|b| b.is_ascii_digit());
+        if !digits || lengths.any(|l| l != first) {
+            return Err(Bad(400, "content-length cannot be read"));
+        }
+        // All digits, so that only size can be wrong.
+        first.parse().map(Some).map_err(|_| Bad(413, "body too long"))
+    }
+}
+
+/// A request without its body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The method.
+    pub method: String,
+    /// The path with its query.
+    pub path: String,
+    /// The headers.
+    pub headers: Headers,
+    /// Bytes of body to come.
+    pub length: usize,
+    /// The connection may carry another request.
+    pub keep_alive: bool,
+}
+
+/// How the body of an answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Body {
+    /// After so many bytes.
+    Length(usize),
+    /// With its last chunk.
+    Chunked,
+    /// With the connection.
+    ToEnd,
+}
+
+/// An answer without its body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: Headers,
+    /// How its body ends.
+    pub body: Body,
+    /// The connection may carry another request.
+    pub keep_alive: bool,
+}
+
+/// Reads the head of a request, and how many bytes it took; `None` while it is not whole.
+pub fn request(bytes: &[u8]) -> Result<Option<(Request, usize)>, Bad> {
+    let mut lines = [httparse::EMPTY_HEADER; 64];
+    let mut head = httparse::Request::new(&mut lines);
+    let Some(len) = whole(head.parse(bytes), bytes.len())? else { return Ok(None) };
+    let headers = Headers::read(head.headers)?;
+    if headers.get("transfer-encoding").is_some() {
+        return Err(Bad(411, "a body needs its length"));
+    }
+    let length = headers.length()?.unwrap_or(0);
+    if length > MAX_BODY {
+        return Err(Bad(413, "body too long"));
+    }
+    let old = head.version == Some(0);
+    let keep_alive = !headers.says("connection", "close") && !old;
+    let (method, path) = (head.method.unwrap_or("").to_string(), head.path.unwrap_or("").to_string());
+    Ok(Some((Request { method, path, headers, length, keep_alive }, len)))
+}
+
+/// Reads the head of an answer, and how many bytes it took; `None` while it is not whole.
+pub fn response(bytes: &[u8]) -> Result<Option<(Response, usize)>, Bad> {
+    let mut lines = [httparse::EMPTY_HEADER; 64];
+    let mut head = httparse::Response::new(&mut lines);
+    let Some(len) = whole(head.parse(bytes), bytes.len())? else { return Ok(None) };
+    let headers = Headers::read(head.headers)?;
+    let status = head.code.unwrap_or(0);
+    let body = match headers.length()? {
+        _ if status == 204 || status == 304 || status < 200 => Body::Length(0),
+        _ if headers.says("transfer-encoding", "chunked") => Body::Chunked,
+        Some(n) => Body::Length(n),
+        None => Body::ToEnd,
+    };
+    let old = head.version == Some(0);
+    let keep_alive = body != Body::ToEnd && !headers.says("connection", "close") && !old;
+    Ok(Some((Response { status, headers, body, keep_alive }, len)))
+}
+
+fn whole(parsed: httparse::Result<usize>, read: usize) -> Result<Option<usize>, Bad> {
+    match parsed {
+        Ok(httparse::Status::Complete(len)) if len <= MAX_HEAD => Ok(Some(len)),
+        Ok(httparse::Status::Partial) if read < MAX_HEAD => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Bad(431, "head too long")),
+        Err(_) => Err(Bad(400, "not HTTP")),
+    }
+}
+
+/// Takes a chunked body apart as it comes.
+#[derive(Debug, Default)]
+pub struct Chunks {
+    state: Chunk,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum Chunk {
+    #[default]
+    Size,
+    Data(usize),
+    /// The line end after data.
+    After,
+    /// Lines after the last chunk, up to an empty one.
+    Trailer,
+    Done,
+}
+
+impl Chunks {
+    /// Moves what can be read from `from` to `into`; true once the body has ended.
+    pub fn take(&mut self, from: &mut Vec<u8>, into: &mut Vec<u8>) -> Result<bool, Bad> {
+        loop {
+            self.state = match self.state {
+                Chunk::Done => return Ok(true),
+                Chunk::Data(0) => Chunk::After,
+                Chunk::Data(left) => {
+                    let n = left.min(from.len());
+                    into.extend(from.drain(..n));
+                    if n < left {
+                        self.state = Chunk::Data(left - n);
+                        return Ok(false);
+                    }
+                    Chunk::After
+                }
+                Chunk::Size | Chunk::After | Chunk::Trailer => {
+                    let Some(line) = take_line(from) else {
+                        let long = from.len() > MAX_CHUNK_LINE;
+                        return if long { Err(Bad(400, "chunk line too long")) } else { Ok(false) };
+                    };
+                    match self.state {
+                        Chunk::After if line.is_empty() => Chunk::Size,
+                        Chunk::After => return Err(Bad(400, "chunk longer than told")),
+                        Chunk::Trailer if line.is_empty() => Chunk::Done,
+                        Chunk::Trailer => Chunk::Trailer,
+                        _ => match chunk_size(&line).ok_or(Bad(400, "chunk size cannot be read"))? {
+                            0 => Chunk::Trailer,
+                            n => Chunk::Data(n),
+                        },
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn chunk_size(line: &[u8]) -> Option<usize> {
+    let digits = line.split(|b| *b == b';').next()?.trim_ascii();
+    let hex = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_hexdigit);
+    hex.then(|| usize::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok())?
+}
+
+/// Takes one line off the front, without its end.
+pub fn take_line(from: &mut Vec<u8>) -> Option<Vec<u8>> {
+    let end = from.iter().position(|b| *b == b'\n')?;
+    let mut line: Vec<u8> = from.drain(..=end).collect();
+    line.pop();
+    if line.last() == Some(&b'\r') {
+        line.pop();
+    }
+    Some(line)
+}
+
+/// Reads the head of an answer off a connection.
+pub async fn read_response(stream: &mut Stream) -> io::Result<Response> {
+    loop {
+        if let Some((response, len)) = response(&stream.buf)? {
+            stream.buf.drain(..len);
+            if response.status >= 200 {
+                return Ok(response);
+            }
+            continue; // one that only announces another
+        }
+        if !stream.fill().await? {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+}
+
+/// Reads the body of an answer off a connection, up to `most` bytes.
+pub async fn read_body(stream: &mut Stream, body: Body, most: usize) -> io::Result<Vec<u8>> {
+    let (mut got, mut chunks) = (Vec::new(), Chunks::default());
+    loop {
+        let done = match body {
+            Body::Length(n) => {
+                let more = stream.buf.len().min(n.saturating_sub(got.len()));
+                got.extend(stream.buf.drain(..more));
+                got.len() >= n
+            }
+            Body::Chunked => chunks.take(&mut stream.buf, &mut got)?,
+            Body::ToEnd => {
+                got.append(&mut stream.buf);
+                false
+            }
+        };
+        if done {
+            return Ok(got);
+        }
+        if got.len() > most {
+            return Err(Bad(413, "body too long").into());
+        }
+        if !stream.fill().await? {
+            return if body == Body::ToEnd { Ok(got) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+        }
+    }
+}
--- /dev/null
+++ b/src/net/platform/ingress.rs
@@ -0,0 +1,279 @@
+//! Where clients hand messages in.
+
+use super::http::{self, Bad, Request};
+use crate::core::invocation::{self, House, Reply};
+use crate::core::{Envelope, Local};
+use crate::net::stream::Stream;
+use crate::settings::Deployment;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::FutureExt;
+use std::cell::Cell;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A request must be whole this long after its first byte.
+const SLOW_REQUEST: Duration = Duration::from_secs(10);
+/// A connection without a request is closed after this time.
+const IDLE: Duration = Duration::from_secs(120);
+/// How long a client that broke the protocol may go on sending before its connection is closed.
+const PARTING: Duration = Duration::from_secs(1);
+/// After a failed accept (no descriptor is free, say) the next one waits this long.
+const ACCEPT_REST: Duration = Duration::from_millis(50);
+
+/// The port for clients.
+pub struct Ingress {
+    house: Rc<House>,
+    classes: Vec<String>,
+    /// This front, as messages name it.
+    front: u8,
+    most: usize,
+    open: Cell<usize>,
+    room: (Sender<()>, Receiver<()>),
+    /// Closed when connections are to end between requests.
+    ending: (Sender<()>, Receiver<()>),
+    last_answers: Cell<bool>,
+}
+
+impl Ingress {
+    /// A port that holds at most so many connections.
+    pub fn new(house: Rc<House>, deployment: &Deployment, front: u8, most: usize) -> Rc<Self> {
+        Rc::new(Ingress {
+            house,
+            classes: deployment.classes.clone(),
+            front,
+            most,
+            open: Cell::new(0),
+            room: async_channel::bounded(1),
+            ending: async_channel::bounded(1),
+            last_answers: Cell::new(false),
+        })
+    }
+
+    /// Takes connections for ever.
+    pub async fn listen(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
+        loop {
+            while self.open.get() >= self.most {
+                let _ = self.room.1.recv().await;
+            }
+            match listener.accept().await {
+                Ok((socket, _)) => {
+                    let seat = Seat::new(self.clone());
+                    let serving = executor.clone();
+                    executor
+                        .spawn(async move { seat.ingress.clone().serve(socket, seat, serving).await })
+                        .detach();
+                }
+                Err(e) => {
+                    log::warn!("ingress: {e}");
+                    self.house.wheel.sleep(ACCEPT_REST).await;
+                }
+            }
+        }
+    }
+
+    /// From now on each answer is the last of its connection.
+    pub fn wind_down(&self) {
+        self.last_answers.set(true);
+    }
+
+    /// Ends connections that carry no request.
+    pub fn end_idle(&self) {
+        self.ending.1.close();
+    }
+
+    async fn serve(
+        self: Rc<Self>,
+        socket: Async<TcpStream>,
+        _seat: Seat,
+        executor: Rc<LocalExecutor<'static>>,
+    ) {
+        let Ok(mut stream) = Stream::new(socket) else { return };
+        loop {
+            let (request, body) = match self.read(&mut stream).await {
+                Ok(Some(read)) => read,
+                Ok(None) => return,
+                Err(bad) => {
+                    log::debug!("ingress: {} {}", bad.0, bad.1);
+                    let _ = stream.send(head(bad.0, "", false).as_bytes()).await;
+                    self.house.wheel.limit(PARTING, stream.part()).await;
+                    return;
+                }
+            };
+            let keep = request.keep_alive && !self.last_answers.get();
+            let (sender, back) = async_channel::bounded(1);
+            let answer = Answer { stream, keep, back: sender };
+            match self.message(&request, body) {
+                Ok(Some((envelope, left))) => {
+                    let work = invocation::serve(self.house.clone(), envelope, left, Box::new(answer));
+                    executor.spawn(work).detach();
+                }
+                Ok(None) => drop(answer.give(200, "").await),
+                Err(bad) => {
+                    log::debug!("ingress: {} {}: {}", request.path, bad.0, bad.1);
+                    drop(Answer { keep: false, ..answer }.give(bad.0, "").await);
+                }
+            }
+            match back.recv().await {
+                Ok(again) => stream = again,
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Reads one request; nothing where the connection ended before one began.
+    async fn read(&self, stream: &mut Stream) -> Result<Option<(Request, Vec<u8>)>, Bad> {
+        if stream.buf.is_empty() {
+            let more = async { stream.fill().await.unwrap_or(false) };
+            let ending = async {
+                let _ = self.ending.1.recv().await;
+                false
+            };
+            // Reading comes first: what has arrived is answered.
+            let waited = self.house.wheel.limit(IDLE, more.or(ending)).await;
+            if waited != Some(true) {
+                return Ok(None);
+            }
+        }
+        let whole = async {
+            let (request, len) = loop {
+                if let Some(head) = http::request(&stream.buf)? {
+                    break head;
+                }
+                if !stream.fill().await.unwrap_or(false) {
+                    return Ok(None);
+                }
+            };
+            while stream.buf.len() < len + request.length {
+                if !stream.fill().await.unwrap_or(false) {
+                    return Ok(None);
+                }
+            }
+            let body = stream.buf[len..len + request.length].to_vec();
+            stream.buf.drain(..len + request.length);
+            Ok(Some((request, body)))
+        };
+        self.house.wheel.limit(SLOW_REQUEST, whole).await.unwrap_or(Err(Bad(408, "too slow")))
+    }
+
+    /// The message that a request hands in, with the time left; nothing for a question whether this sender is up.
+    fn message(&self, request: &Request, body: Vec<u8>) -> Result<Option<(Envelope, Duration)>, Bad> {
+        let path = request.path.split('?').next().unwrap_or("");
+        let class = path.strip_prefix('/').and_then(|p| p.split('/').next()).unwrap_or("");
+        match request.method.as_str() {
+            "GET" | "HEAD" if path == "/up" || path == "/alive" => return Ok(None),
+            "POST" => {}
+            "GET" | "HEAD" => return Err(Bad(404, "no such page")),
+            _ => return Err(Bad(405, "messages are handed in by POST")),
+        }
+        let class = self.classes.iter().position(|c| c == class).ok_or(Bad(404, "no such class"))?;
+        let header = |name| request.headers.get(name);
+        let id = header("x-txn").filter(|id| !id.is_empty()).ok_or(Bad(400, "X-Txn is missing"))?;
+        let left = header("x-remaining").and_then(remaining).ok_or(Bad(400, "X-Remaining cannot be read"))?;
+        let dest =
+            header("x-addressing").and_then(destination).ok_or(Bad(400, "X-Addressing names no dest"))?;
+        let key = header("idempotency-key").map(str::to_string);
+        if key.is_none() && self.house.settings.classes[class].effect == crate::Effect::Token {
+            return Err(Bad(400, "Idempotency-Key is missing"));
+        }
+        let (id, class) = (id.to_string(), class as u16);
+        let envelope = Envelope { front: self.front, id, key, class, dest, reply_to: Vec::new(), body };
+        Ok(Some((envelope, left)))
+    }
+}
+
+/// Reads a time left: a number and a unit, `m` milliseconds or `u` microseconds.
+pub fn remaining(text: &str) -> Option<Duration> {
+    let (number, micros) = match text.strip_suffix('m') {
+        Some(n) => (n, 1_000),
+        None => (text.strip_suffix('u')?, 1),
+    };
+    let digits = !number.is_empty() && number.bytes().all(|b| b.is_ascii_digit());
+    let micros = number.parse::<u64>().ok().filter(|_| digits)?.checked_mul(micros)?;
+    // Longer than a day is no time that a message is wanted for, and would overflow further on.
+    (micros <= 86_400_000_000).then(|| Duration::from_micros(micros))
+}
+
+/// Reads the destination among the items of an address.
+pub fn destination(text: &str) -> Option<u16> {
+    let mut items = text.split([',', ';', ' ']).filter_map(|i| i.trim().split_once('='));
+    items.find(|(k, _)| *k == "dest")?.1.parse().ok()
+}
+
+/// A place among the connections; dropped, it is free again.
+struct Seat {
+    ingress: Rc<Ingress>,
+}
+
+impl Seat {
+    fn new(ingress: Rc<Ingress>) -> Self {
+        ingress.open.set(ingress.open.get() + 1);
+        Seat { ingress }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.ingress.open.set(self.ingress.open.get() - 1);
+        let _ = self.ingress.room.0.try_send(());
+    }
+}
+
+/// The answer owed on a connection. Given, it hands the connection back; dropped, it closes it.
+struct Answer {
+    stream: Stream,
+    keep: bool,
+    back: Sender<Stream>,
+}
+
+impl Answer {
+    async fn give(mut self, status: u16, headers: &str) -> io::Result<()> {
+        self.stream.send(head(status, headers, self.keep).as_bytes()).await?;
+        if self.keep {
+            let _ = self.back.send(self.stream).await;
+        }
+        Ok(())
+    }
+}
+
+impl Reply for Answer {
+    fn taken_on<'a>(self: Box<Self>) -> Local<'a, io::Result<()>> {
+        self.give(202, "").boxed_local()
+    }
+
+    fn rejected<'a>(self: Box<Self>, wait: Duration) -> Local<'a, ()> {
+        let wait = match wait {
+            Duration::ZERO => String::new(),
+            wait => format!("Retry-After: {:.3}\r\n", wait.as_secs_f64()),
+        };
+        async move { drop(self.give(503, &wait).await) }.boxed_local()
+    }
+
+    fn failed<'a>(self: Box<Self>) -> Local<'a, ()> {
+        async move { drop(self.give(500, "").await) }.boxed_local()
+    }
+}
+
+fn head(status: u16, headers: &str, keep: bool) -> String {
+    let connection = if keep { "" } else { "Connection: close\r\n" };
+    format!("HTTP/1.1 {status} {}\r\nContent-Length: 0\r\n{headers}{connection}\r\n", reason(status))
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        202 => "Accepted",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        503 => "Service Unavailable",
+        _ => "Bad Request",
+    }
+}
--- /dev/null
+++ b/src/net/platform/mod.rs
@@ -0,0 +1,9 @@
+//! The platform's own protocol: messages by HTTP, providers by HTTP, its directory and its notices.
+
+pub mod config;
+pub mod http;
+pub mod ingress;
+pub mod list;
+pub mod notices;
+pub mod providers;
+pub mod watch;
--- /dev/null
+++ b/src/net/platform/watch.rs
@@ -0,0 +1,87 @@
+//! Follows the platform's directory. When to ask again after a failure is the module's choice.
+
+use super::http::{self, Body, Chunks};
+use super::list;
+use crate::core::desk::Desk;
+use crate::core::directory::Directory;
+use crate::core::wheel::Wheel;
+use crate::net::stream::Stream;
+use async_channel::Receiver;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The answer to a watch may wait behind other calls for so long.
+const HEAD: Duration = Duration::from_millis(3000);
+/// A line comes every 2 s at least; a watch silent for this long is dead, though its connection may look open.
+const SILENCE: Duration = Duration::from_millis(3500);
+/// Longest line taken.
+const MAX_LINE: usize = 4 << 20;
+
+/// What a watch needs.
+pub struct Watch {
+    /// Where the directory is.
+    pub address: SocketAddr,
+    /// Told of changes.
+    pub desk: Rc<Desk>,
+    /// Holds the version to go on from.
+    pub directory: Rc<Directory>,
+    /// The timers.
+    pub wheel: Rc<Wheel>,
+}
+
+impl Watch {
+    /// Watches whenever asked to, until each watch ends.
+    pub async fn run(&self, asked: Receiver<()>) {
+        while asked.recv().await.is_ok() {
+            let ended = self.follow().await;
+            log::warn!("watch: {}", ended.map_or_else(|e| e.to_string(), |()| "ended".into()));
+            self.desk.list_failed();
+        }
+    }
+
+    async fn follow(&self) -> io::Result<()> {
+        let opened = self.wheel.limit(HEAD, self.open()).await;
+        let (mut stream, body) = opened.ok_or(io::ErrorKind::TimedOut)??;
+        let (mut text, mut chunks) = (Vec::new(), Chunks::default());
+        loop {
+            let ended = match body {
+                Body::Chunked => chunks.take(&mut stream.buf, &mut text)?,
+                Body::Length(_) | Body::ToEnd => {
+                    text.append(&mut stream.buf);
+                    false
+                }
+            };
+            while let Some(line) = http::take_line(&mut text) {
+                if !line.trim_ascii().is_empty() {
+                    let news =
+                        list::read(&line).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
+                    self.desk.list(&news);
+                }
+            }
+            if ended {
+                return Ok(());
+            }
+            if text.len() > MAX_LINE {
+                return Err(io::Error::new(io::ErrorKind::InvalidData, "a line without end"));
+            }
+            let more = self.wheel.limit(SILENCE, stream.fill()).await;
+            if !more.ok_or_else(|| io::Error::new(io::ErrorKind::TimedOut, "silent"))?? {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn open(&self) -> io::Result<(Stream, Body)> {
+        let mut stream = Stream::connect(self.address).await?;
+        let (address, since) = (self.address, self.directory.rev().unwrap_or(0));
+        let ask = format!("GET /discovery/hosts?follow=1&since={since} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        stream.send(ask.as_bytes()).await?;
+        let answer = http::read_response(&mut stream).await?;
+        match answer.status {
+            200 => Ok((stream, answer.body)),
+            status => Err(io::Error::other(format!("answered {status}"))),
+        }
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -219,7 +219,8 @@
                     self.watch_at = Some(now + self.watch_gap);
                     self.watch_gap = (self.watch_gap * 2).min(4 * SEC);
                 }
-                Event::Arrived(m) => self.arrived(now, *m),
+                Event::Arrived(m) => self.arrived(now, *m, Held::default()),
+                Event::Resumed { message, past } => self.arrived(now, *message, Held::resumed(now, past)),
                 Event::Ended { id, attempt, outcome, took, finished, report } => {
                     self.ended(now, (*id, *attempt), *outcome, *took, report);
                     if *finished {
@@ -307,7 +308,7 @@
         &self.s.classes[usize::from(m.class).min(self.s.classes.len() - 1)]
     }
 
-    fn arrived(&mut self, now: Time, m: Message) {
+    fn arrived(&mut self, now: Time, m: Message, past: Held) {
         let class = self.class(&m);
         let (deadline, in_order) = (now.saturating_add(m.ttl), class.in_order && m.key != 0);
         let born = deadline.saturating_sub(class.deadline);
@@ -315,7 +316,7 @@
         if in_order {
             self.keys.entry(m.key).or_default().turn.push_back(m.id);
         }
-        self.held.insert(m.id, Held { m, deadline, born, over_share, ..Held::default() });
+        self.held.insert(m.id, Held { m, deadline, born, over_share, ..past });
         let d = self.dest(m.dest);
         d.demand.hit(now, RATE);
         d.line.insert(m.id);
--- a/src/bin/raildeal-drill/settings.rs
+++ b/src/settings.rs
@@ -1,21 +1,89 @@
-//! Reads the path=value settings of the wire. Unknown keys are skipped; no decision is made here.
+//! Reads the settings that a relay is given at its start, whether as path=value lines or as nested JSON with the same
+//! names. Unknown keys are skipped; no decision is made here.
 
-use raildeal::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, Tenant};
+use crate::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, Tenant, Time};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-struct Env<'a>(BTreeMap<&'a str, &'a str>);
+/// The module's settings, and beside them what only the program around it needs.
+#[derive(Clone, Debug, Default)]
+pub struct Deployment {
+    /// What the module is given.
+    pub settings: Settings,
+    /// Names of the classes, in the order of [`Settings::classes`].
+    pub classes: Vec<String>,
+    /// Names of the kinds of destination, in the order of [`Settings::kinds`].
+    pub kinds: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// A connection not made within this time is given up.
+    pub connect_timeout: Time,
+}
+
+/// Reads path=value lines.
+pub fn from_lines(env: &[u8]) -> Result<Deployment, String> {
+    let text = std::str::from_utf8(env).map_err(|e| format!("settings are not UTF-8: {e}"))?;
+    let mut map = BTreeMap::new();
+    for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+        let (k, v) = line.split_once('=').ok_or_else(|| format!("settings line {}: no '='", n + 1))?;
+        map.insert(k.to_string(), v.to_string());
+    }
+    parse(map)
+}
+
+/// Reads a nested object.
+pub fn from_json(settings: &Value) -> Result<Deployment, String> {
+    let mut map = BTreeMap::new();
+    flatten(String::new(), settings, &mut map);
+    parse(map)
+}
+
+/// Lays a nested value out as the paths of the line form.
+fn flatten(path: String, value: &Value, into: &mut BTreeMap<String, String>) {
+    let under = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(k, v)| flatten(under(k), v, into)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            into.insert(under("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| flatten(under(&i.to_string()), v, into));
+        }
+        Value::Array(items) => {
+            into.insert(path, items.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+        other => {
+            into.insert(path, plain(other));
+        }
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(s) => s.replace([' ', ','], "_"),
+        other => other.to_string(),
+    }
+}
+
+struct Env(BTreeMap<String, String>);
 
-impl Env<'_> {
+impl Env {
     fn get<T: FromStr>(&self, key: &str, absent: T) -> Result<T, String> {
-        match self.0.get(key) {
+        match self.word(key) {
             None => Ok(absent),
             Some(v) => v.parse().map_err(|_| format!("setting {key}: cannot read '{v}'")),
         }
     }
 
+    fn word(&self, key: &str) -> Option<&str> {
+        self.0.get(key).map(String::as_str)
+    }
+
     fn list(&self, key: &str) -> Vec<&str> {
-        self.0.get(key).filter(|v| !v.is_empty()).map_or(Vec::new(), |v| v.split(',').collect())
+        self.word(key).filter(|v| !v.is_empty()).map_or(Vec::new(), |v| v.split(',').collect())
+    }
+
+    fn names(&self, key: &str) -> Vec<String> {
+        self.list(key).into_iter().map(str::to_string).collect()
     }
 
     /// Items of a list of objects; bounded by the keys that are there, whatever the count claims.
@@ -32,22 +100,16 @@
     }
 }
 
-pub fn parse(env: &[u8]) -> Result<Settings, String> {
-    let text = std::str::from_utf8(env).map_err(|e| format!("settings are not UTF-8: {e}"))?;
-    let mut map = BTreeMap::new();
-    for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
-        let (k, v) = line.split_once('=').ok_or_else(|| format!("settings line {}: no '='", n + 1))?;
-        map.insert(k, v);
-    }
+fn parse(map: BTreeMap<String, String>) -> Result<Deployment, String> {
     let env = Env(map);
     let classes = env.items("categories", |p| {
-        let effect = match env.0.get(format!("{p}.effect").as_str()).copied() {
+        let effect = match env.word(&format!("{p}.effect")) {
             None | Some("side_effect") => Effect::SideEffect,
             Some("pure") => Effect::Pure,
             Some("token") => Effect::Token,
             Some(v) => return Err(format!("setting {p}.effect: unknown '{v}'")),
         };
-        let scope = match env.0.get(format!("{p}.dedupScope").as_str()).copied() {
+        let scope = match env.word(&format!("{p}.dedupScope")) {
             Some("all") => DedupScope::All,
             _ => DedupScope::Zone,
         };
@@ -71,7 +133,9 @@
             Ok(Kind { apart: apart.get(i) == Some(&"true"), batch: size })
         })
         .collect::<Result<_, String>>()?;
-    Ok(Settings {
+    let class_names =
+        env.items("categories", |p| Ok(env.word(&format!("{p}.name")).unwrap_or("").to_string()))?;
+    let settings = Settings {
         classes,
         tenants,
         kinds,
@@ -79,13 +143,13 @@
         slots: env.get("familyInfo.maxCalls", 0)?,
         room: env.get("limits.openCap", 0)?,
         max_attempts: env.get("limits.maxAttempts", 1)?,
-        decay: if env.0.get("familyInfo.losesWorth") == Some(&"halving") {
+        decay: if env.word("familyInfo.losesWorth") == Some("halving") {
             Decay::Halving
         } else {
             Decay::Linear
         },
         over_share_worth: env.get("overShareWorth", 1.0)?,
-        ask_list: env.0.get("discovery") == Some(&"subscribe"),
+        ask_list: env.word("discovery") == Some("subscribe"),
         probes: env.get("limits.probes", false)?,
         tells_clients: env.get("limits.retryAfter", false)?,
         max_retry_after: env.get("limits.maxRetryAfter", 0)?,
@@ -95,12 +159,19 @@
         overload_for: env.get("rules.overloadFor", 0)?,
         order_settle: env.get("rules.orderSettle", 0)?,
         idle_close: env.get("limits.idleClose", 0)?,
-        listed: match env.0.get("weights").copied() {
+        listed: match env.word("weights") {
             Some("nominal") => ListedRates::Nominal,
             Some("rough") => ListedRates::Rough,
             _ => ListedRates::Silent,
         },
         report_left: env.column("x0"),
         report_limit: env.column("x1"),
+    };
+    Ok(Deployment {
+        settings,
+        classes: class_names,
+        kinds: env.names("kinds"),
+        zones: env.names("localities"),
+        connect_timeout: env.get("limits.connectTimeout", 1_500_000_000)?,
     })
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -99,6 +99,14 @@
     pub over_share: bool,
 }
 
+impl Held {
+    /// What an earlier life left of a message; a clock that is younger than that life counts from its own start.
+    pub fn resumed(now: Time, past: &Past) -> Self {
+        let ran = past.ran.map(|(ago, zone)| (now.saturating_sub(ago), zone));
+        Held { attempts: u32::from(past.attempts), ran, ..Held::default() }
+    }
+}
+
 #[derive(Debug)]
 pub struct Flight {
     pub call: u64,
