Add MQTT as a second front: clients hand in by PUBLISH, brokers are providers

The connect-ask-send-answer path of a call is now one piece of code for both wires (net/calls.rs); a dialect supplies the words. The codec is mqtt-proto without tokio; it makes room for any length that a packet claims, so packets are bounded before it sees them (net/mqtt/packets.rs).

Seen: 14 socket scenarios, written once, pass unchanged against HTTP stand-ins and a small stand-in broker, among them an acknowledgement after 16 s, a drop before it, and both kinds of restart. Also: SIGTERM ends the process early once nothing is owed; a message handed in again while held is held once.

--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,268 @@
+//! What a sender is told at its start: by the platform, or by an operator's file.
+
+use crate::core::directory::{Entry, News};
+use crate::net::platform::list;
+use crate::settings::{self, Deployment};
+use crate::{Condition, DestId};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// How long a final answer waits for its client, if the operator says nothing.
+const KEEP_ANSWERS_S: u64 = 600;
+
+/// The configuration.
+#[derive(Debug)]
+pub struct Config {
+    /// Name of this sender.
+    pub name: String,
+    /// The folder that lasts.
+    pub state: PathBuf,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Bytes that the folder may hold.
+    pub disk: u64,
+    /// Settings of module and deployment.
+    pub deployment: Deployment,
+    /// Names of the values in a load report.
+    pub columns: Vec<String>,
+    /// The list as this sender last had it, or all there is of it.
+    pub known: Option<News>,
+    /// The platform's protocol.
+    pub platform: Option<Platform>,
+    /// MQTT clients.
+    pub mqtt: Option<Mqtt>,
+    /// MQTT providers.
+    pub brokers: Option<Brokers>,
+}
+
+/// The platform's protocol.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The directory, which also takes notices.
+    pub discovery: SocketAddr,
+}
+
+/// MQTT clients.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Mqtt {
+    /// Where they connect.
+    pub listen: SocketAddr,
+    /// How long a final answer waits for a client to subscribe to it.
+    #[serde(default = "keep_answers_s")]
+    keep_answers_s: u64,
+}
+
+impl Mqtt {
+    /// How long a final answer waits for a client to subscribe to it.
+    pub fn keep_answers(&self) -> Duration {
+        Duration::from_secs(self.keep_answers_s)
+    }
+}
+
+/// MQTT providers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Brokers {
+    /// Kinds of destination whose providers are brokers.
+    pub kinds: Vec<String>,
+    /// Topic that a message is published to; may hold `{class}`, `{dest}` and `{key}`.
+    #[serde(default = "broker_topic")]
+    pub topic: String,
+    /// How client ids begin.
+    #[serde(default = "broker_client_id")]
+    pub client_id: String,
+}
+
+/// An operator's file.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    name: String,
+    state: PathBuf,
+    #[serde(default = "file_seed")]
+    seed: u64,
+    #[serde(default)]
+    limits: Limits,
+    settings: Value,
+    #[serde(default)]
+    provider: Vec<FileProvider>,
+    platform: Option<Platform>,
+    mqtt: Option<Mqtt>,
+    brokers: Option<Brokers>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Limits {
+    sockets: usize,
+    disk_mb: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileProvider {
+    uid: String,
+    address: SocketAddr,
+    dest: DestId,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    rate: f32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024, disk_mb: 3.0 }
+    }
+}
+
+fn keep_answers_s() -> u64 {
+    KEEP_ANSWERS_S
+}
+
+fn broker_topic() -> String {
+    "{class}/{dest}".into()
+}
+
+fn broker_client_id() -> String {
+    "raildeal".into()
+}
+
+fn file_seed() -> u64 {
+    u64::from(std::process::id())
+}
+
+impl Config {
+    /// Reads the file that `NODE_CONFIG` names; other variables go before what it says.
+    pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let path = var("NODE_CONFIG").ok_or("NODE_CONFIG: not set")?;
+        let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+        let json: Value = serde_json::from_slice(&text).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+        Config::from_platform(&json, var)
+    }
+
+    /// Reads what the platform says.
+    fn from_platform(json: &Value, var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let word = |variable: &str, field: &str| {
+            let told = json.get(field).and_then(Value::as_str).map(str::to_string);
+            var(variable).or(told).ok_or_else(|| format!("{field}: not set"))
+        };
+        let address = |variable: &str, field: &str| {
+            let text = word(variable, field)?;
+            text.parse::<SocketAddr>().map_err(|_| format!("{field}: '{text}' is not an address with a port"))
+        };
+        let limit = |name: &str, absent: f64| match json.pointer(&format!("/limits/{name}")) {
+            None => Ok(absent),
+            Some(v) => v.as_f64().filter(|v| *v > 0.0).ok_or_else(|| format!("limits.{name}: '{v}'")),
+        };
+        let known = json.get("known").filter(|k| !k.is_null());
+        let known = known.map(|k| list::read(k.to_string().as_bytes())).transpose();
+        let settings = json.get("settings").ok_or("settings: not set")?;
+        Ok(Config {
+            name: word("NODE_NAME", "name")?,
+            state: word("NODE_STATE", "state")?.into(),
+            seed: seed(json.get("seed")).ok_or("seed: not a hexadecimal number")?,
+            sockets: limit("sockets", Limits::default().sockets as f64)? as usize,
+            disk: (limit("disk_mb", Limits::default().disk_mb)? * 1e6) as u64,
+            deployment: settings::from_json(settings)?,
+            columns: columns(settings),
+            known: known.map_err(|e| format!("known: {e}"))?,
+            platform: Some(Platform {
+                listen: address("NODE_LISTEN", "listen")?,
+                discovery: address("NODE_DISCOVERY", "discovery")?,
+            }),
+            mqtt: None,
+            brokers: None,
+        })
+    }
+
+    /// Reads an operator's file. What is wrong is told in one line that names the setting.
+    pub fn from_file(path: &Path) -> Result<Self, String> {
+        let shown = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
+        Config::from_toml(&text).map_err(|e| format!("{shown}: {e}"))
+    }
+
+    fn from_toml(text: &str) -> Result<Self, String> {
+        let reader = toml::Deserializer::parse(text).map_err(|e| one_line(&e))?;
+        let file: File = serde_path_to_error::deserialize(reader)
+            .map_err(|e| format!("{}: {}", e.path(), one_line(e.inner())))?;
+        let deployment = settings::from_json(&file.settings)?;
+        let config = Config {
+            name: file.name,
+            state: file.state,
+            seed: file.seed,
+            sockets: file.limits.sockets,
+            disk: (file.limits.disk_mb * 1e6) as u64,
+            columns: columns(&file.settings),
+            known: file.platform.is_none().then(|| providers(file.provider)),
+            platform: file.platform,
+            mqtt: file.mqtt,
+            brokers: file.brokers,
+            deployment,
+        };
+        config.check()
+    }
+
+    fn check(self) -> Result<Self, String> {
+        let kinds = &self.deployment.kinds;
+        let fault = |setting: &str, problem: String| Err(format!("{setting}: {problem}"));
+        if self.platform.is_none() && self.mqtt.is_none() {
+            return fault("platform, mqtt", "neither is set, so no message could come in".into());
+        }
+        if self.sockets < 16 {
+            return fault("limits.sockets", format!("{} are too few", self.sockets));
+        }
+        if let Some(brokers) = &self.brokers {
+            if let Some(kind) = brokers.kinds.iter().find(|k| !kinds.contains(k)) {
+                return fault("brokers.kinds", format!("settings.kinds has no '{kind}'"));
+            }
+            let topic = brokers.topic.replace("{dest}", "").replace("{class}", "").replace("{key}", "");
+            if brokers.topic.is_empty() || topic.contains(['+', '#', '{', '}', '\0']) {
+                return fault("brokers.topic", format!("'{}' is no topic", brokers.topic));
+            }
+        }
+        Ok(self)
+    }
+}
+
+fn columns(settings: &Value) -> Vec<String> {
+    let columns = settings.pointer("/stats/columns").and_then(Value::as_array);
+    columns.into_iter().flatten().filter_map(|c| c.as_str().map(str::to_string)).collect()
+}
+
+fn providers(lines: Vec<FileProvider>) -> News {
+    let entries = lines.into_iter().map(|p| Entry {
+        uid: p.uid,
+        address: p.address,
+        zone: p.zone,
+        kind: p.kind,
+        dest: p.dest,
+        condition: Condition::Ready,
+        rate: p.rate,
+    });
+    News { rev: 1, whole: true, entries: entries.collect() }
+}
+
+fn one_line(e: &toml::de::Error) -> String {
+    e.message().lines().next().unwrap_or("cannot be read").to_string()
+}
+
+fn seed(value: Option<&Value>) -> Option<u64> {
+    match value {
+        None => Some(1),
+        Some(Value::String(hex)) => u64::from_str_radix(hex, 16).ok(),
+        Some(number) => number.as_u64(),
+    }
+}
--- a/src/core/directory.rs
+++ b/src/core/directory.rs
@@ -192,8 +192,10 @@
         }
     }
 
+    /// Number of a kind; the module takes one that it does not know for the last, and so does this.
     fn kind(&self, name: &str) -> u16 {
-        self.kinds.iter().position(|k| k == name).unwrap_or(self.kinds.len()) as u16
+        let known = self.kinds.iter().position(|k| k == name);
+        known.unwrap_or(self.kinds.len().saturating_sub(1)) as u16
     }
 
     /// A name of the module's own for each uid: addresses may be used again by a machine that replaces another.
--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -7,7 +7,8 @@
 use super::wheel::Wheel;
 use super::{span, unix_ms, Envelope, Front, Invoker, Local, Report, Verdict};
 use crate::{Effect, Endpoint, Message, Outcome, Past, Settings, Time};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,6 +16,9 @@
 /// What a client turned away for want of room is told: about what one call takes.
 const NO_ROOM_WAIT: Duration = Duration::from_millis(500);
 
+/// How often it is looked whether all messages are over, when the process is to end.
+const EMPTIED_LOOK: Duration = Duration::from_millis(20);
+
 /// The answer that a client waits for when it hands a message in.
 pub trait Reply {
     /// Taken on. Fails if the client cannot have heard it.
@@ -38,14 +42,42 @@
     /// Makes the calls.
     pub invoker: Rc<dyn Invoker>,
     /// Those that messages come from, by [`Envelope::front`].
-    pub fronts: Vec<Rc<dyn Front>>,
+    pub fronts: BTreeMap<u8, Rc<dyn Front>>,
     /// The timers.
     pub wheel: Rc<Wheel>,
+    /// Front and id of what is held.
+    pub names: RefCell<HashSet<(u8, String)>>,
+}
+
+/// A held message's name; dropped, it may be handed in again.
+struct Named {
+    house: Rc<House>,
+    name: (u8, String),
+}
+
+impl Named {
+    /// Nothing, where a message of this name is held already.
+    fn new(house: &Rc<House>, envelope: &Envelope) -> Option<Self> {
+        let name = (envelope.front, envelope.id.clone());
+        let fresh = house.names.borrow_mut().insert(name.clone());
+        fresh.then(|| Named { house: house.clone(), name })
+    }
+}
+
+impl Drop for Named {
+    fn drop(&mut self) {
+        self.house.names.borrow_mut().remove(&self.name);
+    }
 }
 
 /// Serves a message that was just handed in.
 pub async fn serve(house: Rc<House>, envelope: Envelope, left: Duration, reply: Box<dyn Reply>) {
     let started = Instant::now();
+    let Some(_named) = Named::new(&house, &envelope) else {
+        // Its client has not heard that it was taken on: it is, and still once.
+        log::debug!("{}: handed in once more while held", envelope.id);
+        return reply.taken_on().await.unwrap_or_default();
+    };
     if house.desk.held() >= house.settings.room as usize {
         log::debug!("{}: rejected, no room", envelope.id);
         return reply.rejected(house.patience(NO_ROOM_WAIT)).await;
@@ -84,6 +116,7 @@
 pub async fn resume(house: Rc<House>, record: Record) {
     let account = record.account();
     let envelope = account.envelope.clone();
+    let _named = Named::new(&house, &envelope);
     if let Some(verdict) = account.verdict {
         return answer(&house, &envelope, record, verdict).await;
     }
@@ -175,11 +208,14 @@
 
 /// Passes the final answer on and closes the record.
 async fn answer(house: &House, envelope: &Envelope, record: Record, verdict: Verdict) {
-    match house.fronts.get(usize::from(envelope.front)) {
-        Some(front) => front.tell(envelope, verdict).await,
+    match house.fronts.get(&envelope.front) {
+        Some(front) => {
+            front.tell(envelope, verdict).await;
+            record.close();
+        }
+        // The record stays open: what is owed is owed until that front is back.
         None => log::error!("{}: its front is not set up any more; {verdict:?} is not told", envelope.id),
     }
-    record.close();
 }
 
 fn note_wait(house: &House, endpoint: Endpoint, wait: Duration) {
@@ -205,6 +241,13 @@
 }
 
 impl House {
+    /// Waits until every message has had its end, and that was heard.
+    pub async fn emptied(&self) {
+        while !self.names.borrow().is_empty() {
+            self.wheel.sleep(EMPTIED_LOOK).await;
+        }
+    }
+
     /// A wait, as far as clients heed one.
     fn patience(&self, wait: Duration) -> Duration {
         wait.min(span(self.settings.max_retry_after))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod config;
 pub mod core;
 pub mod interface;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,20 +5,28 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::{Future, FutureExt, StreamExt};
+use raildeal::config::Config;
 use raildeal::core::desk::{Desk, Hands};
 use raildeal::core::directory::{Directory, Provider};
 use raildeal::core::invocation::{self, House};
 use raildeal::core::journal::Journal;
 use raildeal::core::wheel::Wheel;
 use raildeal::core::{span, Front, Invoker};
-use raildeal::net::platform::config::Config;
+use raildeal::net::by_kind::ByKind;
+use raildeal::net::calls::Calls;
+use raildeal::net::mqtt::brokers::Publisher;
+use raildeal::net::mqtt::ingress::{Port, Sessions};
 use raildeal::net::platform::ingress::Ingress;
 use raildeal::net::platform::notices::Notices;
-use raildeal::net::platform::providers::Pool;
+use raildeal::net::platform::providers::Hook;
 use raildeal::net::platform::watch::Watch;
+use raildeal::net::seats::Seats;
+use raildeal::net::{MQTT, PLATFORM};
 use raildeal::Relay;
-use std::net::TcpListener;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,13 +40,13 @@
 
 /// The module's wishes that are about no message.
 struct Wishes {
-    pool: Rc<Pool>,
+    invoker: Rc<ByKind>,
     watch: Sender<()>,
 }
 
 impl Hands for Wishes {
     fn close_idle(&self, provider: &Provider) {
-        self.pool.close_idle(provider);
+        self.invoker.close_idle(provider);
     }
 
     fn watch_list(&self) {
@@ -48,15 +56,13 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let config = match Config::from_env(|name| std::env::var(name).ok()) {
-        Ok(config) => config,
-        Err(e) => {
-            eprintln!("raildeal: {e}");
-            return ExitCode::FAILURE;
-        }
+    let config = match std::env::args_os().nth(1) {
+        Some(file) => Config::from_file(Path::new(&file)),
+        None => Config::from_env(|name| std::env::var(name).ok()),
     };
     let executor = Rc::new(LocalExecutor::new());
-    match async_io::block_on(executor.run(serve(config, executor.clone()))) {
+    let served = config.and_then(|config| async_io::block_on(executor.run(serve(config, executor.clone()))));
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("raildeal: {e}");
@@ -65,67 +71,119 @@
     }
 }
 
+/// Runs a part for as long as the process lives.
+fn keep<F: Future + 'static>(executor: &LocalExecutor<'static>, part: F)
+where
+    F::Output: 'static,
+{
+    executor.spawn(part).detach();
+}
+
+fn listen(at: SocketAddr, name: &str, who: &str) -> Result<Async<TcpListener>, String> {
+    let bound = Async::<TcpListener>::bind(at).map_err(|e| format!("{who}: {at}: {e}"))?;
+    let at = bound.get_ref().local_addr().map_err(|e| format!("{who}: {e}"))?;
+    log::info!("{name}: {who} at {at}");
+    Ok(bound)
+}
+
 async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+    let Config { name, deployment, .. } = &config;
+    let mut settings = deployment.settings.clone();
+    // On sockets nobody pushes the list: with a discovery service it has to be asked for, whatever the settings say.
+    settings.ask_list = config.platform.is_some();
     let mut ending = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
-    let (deployment, settings) = (&config.deployment, &config.deployment.settings);
     let wheel = Wheel::new();
     let directory = Rc::new(Directory::new(&deployment.zones, &deployment.kinds, &settings.kinds));
     let (journal, unfinished) = Journal::open(&config.state, config.disk)
-        .map_err(|e| format!("state {}: {e}", config.state.display()))?;
-    let pool = Pool::new(
-        wheel.clone(),
-        span(deployment.connect_timeout),
-        span(settings.idle_close),
-        config.columns.clone(),
-    );
+        .map_err(|e| format!("state: {}: {e}", config.state.display()))?;
+
+    // Providers.
+    let (connect, idle) = (span(deployment.connect_timeout), span(settings.idle_close));
+    let hooks = Calls::new(Hook { columns: config.columns.clone() }, wheel.clone(), connect, idle);
+    let brokers = config.brokers.as_ref().map(|b| {
+        let publisher =
+            Publisher::new(b.client_id.clone(), b.topic.clone(), deployment.classes.clone(), idle);
+        (Calls::new(publisher, wheel.clone(), connect, idle), b.kinds.clone())
+    });
+    let invoker = Rc::new(ByKind { hooks: hooks.clone(), brokers: brokers.clone() });
+
+    // The module's desk.
     let relay = Relay::new(settings.clone(), config.seed).map_err(|e| e.to_string())?;
     let (watch, asked) = async_channel::bounded(1);
-    let desk = Desk::new(relay, directory.clone(), Rc::new(Wishes { pool: pool.clone(), watch }));
-    let notices = Notices::new(config.discovery, wheel.clone());
+    let desk = Desk::new(relay, directory.clone(), Rc::new(Wishes { invoker: invoker.clone(), watch }));
+
+    // Fronts.
+    let notices = config.platform.as_ref().map(|p| Notices::new(p.discovery, wheel.clone()));
+    let sessions = config.mqtt.as_ref().map(|m| Sessions::new(wheel.clone(), m.keep_answers()));
+    let mut fronts: BTreeMap<u8, Rc<dyn Front>> = BTreeMap::new();
+    fronts.extend(notices.clone().map(|n| (PLATFORM, n as Rc<dyn Front>)));
+    fronts.extend(sessions.clone().map(|s| (MQTT, s as Rc<dyn Front>)));
     let house = Rc::new(House {
-        settings: settings.clone(),
+        settings,
         desk: desk.clone(),
         journal,
         directory: directory.clone(),
-        invoker: pool.clone() as Rc<dyn Invoker>,
-        fronts: vec![notices.clone() as Rc<dyn Front>],
+        invoker: invoker as Rc<dyn Invoker>,
+        fronts,
         wheel: wheel.clone(),
+        names: Default::default(),
     });
-    let listener =
-        Async::<TcpListener>::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    log::info!("{}: {} messages to take up, listening at {}", config.name, unfinished.len(), config.listen);
+    let seats = Seats::new(config.sockets / 2);
+    let port = |at, who| listen(at, name, who);
+    let clients = config.platform.as_ref().map(|p| port(p.listen, "platform")).transpose()?;
+    let mqtt = config.mqtt.as_ref().map(|m| port(m.listen, "mqtt")).transpose()?;
 
-    // The list as last held comes first of all, then what is still owed.
+    // The list as last held comes first of all, then what is still owed, then what is new.
+    log::info!("{name}: {} messages to take up", unfinished.len());
     match &config.known {
         Some(known) => desk.list(known),
         None => desk.list_failed(),
     }
-    let (timing, keeping, sweeping, noticing) = (wheel.clone(), desk.clone(), pool.clone(), notices.clone());
-    executor.spawn(async move { timing.turn().await }).detach();
-    let timers = wheel.clone();
-    executor.spawn(async move { keeping.keep_time(&timers).await }).detach();
-    executor.spawn(async move { sweeping.sweep().await }).detach();
-    executor.spawn(async move { noticing.run().await }).detach();
-    let watch = Watch { address: config.discovery, desk: desk.clone(), directory, wheel: wheel.clone() };
-    executor.spawn(async move { watch.run(asked).await }).detach();
+    let (turning, keeping) = (wheel.clone(), (desk.clone(), wheel.clone()));
+    keep(&executor, async move { turning.turn().await });
+    keep(&executor, async move { keeping.0.keep_time(&keeping.1).await });
+    keep(&executor, async move { hooks.sweep().await });
+    if let Some((brokers, _)) = brokers {
+        keep(&executor, async move { brokers.sweep().await });
+    }
+    if let Some(notices) = notices {
+        keep(&executor, async move { notices.run().await });
+    }
+    if let Some(p) = &config.platform {
+        let watch = Watch { address: p.discovery, desk: desk.clone(), directory, wheel: wheel.clone() };
+        keep(&executor, async move { watch.run(asked).await });
+    }
     for record in unfinished {
-        executor.spawn(invocation::resume(house.clone(), record)).detach();
+        keep(&executor, invocation::resume(house.clone(), record));
     }
-    let ingress = Ingress::new(house, deployment, 0, config.sockets / 2);
-    let listening = executor.spawn(ingress.clone().listen(listener, executor.clone()));
+    let ingress = Ingress::new(house.clone(), deployment, PLATFORM, seats.clone());
+    let mut listeners = Vec::new();
+    listeners.extend(clients.map(|l| executor.spawn(ingress.clone().listen(l, executor.clone()))));
+    let port = sessions.map(|sessions| Port::new(house.clone(), sessions, deployment, MQTT, seats));
+    let mqtt = mqtt.zip(port.clone());
+    listeners.extend(mqtt.map(|(l, port)| executor.spawn(port.listen(l, executor.clone()))));
 
     ending.next().await;
-    log::info!("{}: told to end with {} messages held", config.name, desk.held());
+    log::info!("{name}: told to end with {} messages held", desk.held());
     let finishing = async {
         ingress.wind_down();
         wheel.sleep(STILL_COMING).await;
-        listening.cancel().await;
+        for listening in listeners {
+            listening.cancel().await;
+        }
         ingress.end_idle();
-        wheel.sleep(LAST_CALL - STILL_COMING).await;
+        if let Some(port) = &port {
+            port.close();
+        }
+        let rest = async { wheel.sleep(LAST_CALL - STILL_COMING).await };
+        rest.or(house.emptied()).await;
         desk.halt();
         desk.calls_ended().await;
     };
     finishing.or(async { wheel.sleep(END).await }).await;
-    log::info!("{}: ends with {} messages for the next start", config.name, desk.held());
+    if let Some(port) = &port {
+        port.farewell();
+    }
+    log::info!("{name}: ends with {} messages for the next start", desk.held());
     Ok(())
 }
--- /dev/null
+++ b/src/net/by_kind.rs
@@ -0,0 +1,42 @@
+//! Which wire a provider speaks is a matter of its kind.
+
+use super::calls::Calls;
+use super::mqtt::brokers::Publisher;
+use super::platform::providers::Hook;
+use crate::core::directory::Provider;
+use crate::core::{Envelope, Invoker, Local, Report};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Calls providers, each by its own wire.
+pub struct ByKind {
+    /// Those that speak HTTP: all but brokers.
+    pub hooks: Rc<Calls<Hook>>,
+    /// Brokers, and the kinds that are.
+    pub brokers: Option<(Rc<Calls<Publisher>>, Vec<String>)>,
+}
+
+impl ByKind {
+    fn invoker(&self, provider: &Provider) -> &dyn Invoker {
+        match &self.brokers {
+            Some((brokers, kinds)) if kinds.contains(&provider.entry.kind) => &**brokers,
+            _ => &*self.hooks,
+        }
+    }
+}
+
+impl Invoker for ByKind {
+    fn call<'a>(
+        &'a self,
+        provider: Rc<Provider>,
+        envelope: &'a Envelope,
+        timeout: Duration,
+        go: &'a dyn Fn() -> bool,
+    ) -> Local<'a, Report> {
+        self.invoker(&provider).call(provider, envelope, timeout, go)
+    }
+
+    fn close_idle(&self, provider: &Provider) {
+        self.invoker(provider).close_idle(provider);
+    }
+}
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -3,6 +3,7 @@
 use super::http::{self, Bad, Request};
 use crate::core::invocation::{self, House, Reply};
 use crate::core::{Envelope, Local};
+use crate::net::seats::{Seat, Seats};
 use crate::net::stream::Stream;
 use crate::settings::Deployment;
 use async_channel::{Receiver, Sender};
@@ -21,33 +22,26 @@
 const IDLE: Duration = Duration::from_secs(120);
 /// How long a client that broke the protocol may go on sending before its connection is closed.
 const PARTING: Duration = Duration::from_secs(1);
-/// After a failed accept (no descriptor is free, say) the next one waits this long.
-const ACCEPT_REST: Duration = Duration::from_millis(50);
-
 /// The port for clients.
 pub struct Ingress {
     house: Rc<House>,
     classes: Vec<String>,
     /// This front, as messages name it.
     front: u8,
-    most: usize,
-    open: Cell<usize>,
-    room: (Sender<()>, Receiver<()>),
+    seats: Rc<Seats>,
     /// Closed when connections are to end between requests.
     ending: (Sender<()>, Receiver<()>),
     last_answers: Cell<bool>,
 }
 
 impl Ingress {
-    /// A port that holds at most so many connections.
-    pub fn new(house: Rc<House>, deployment: &Deployment, front: u8, most: usize) -> Rc<Self> {
+    /// A port whose connections take seats among all that clients may hold.
+    pub fn new(house: Rc<House>, deployment: &Deployment, front: u8, seats: Rc<Seats>) -> Rc<Self> {
         Rc::new(Ingress {
             house,
             classes: deployment.classes.clone(),
             front,
-            most,
-            open: Cell::new(0),
-            room: async_channel::bounded(1),
+            seats,
             ending: async_channel::bounded(1),
             last_answers: Cell::new(false),
         })
@@ -55,24 +49,12 @@
 
     /// Takes connections for ever.
     pub async fn listen(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
-        loop {
-            while self.open.get() >= self.most {
-                let _ = self.room.1.recv().await;
-            }
-            match listener.accept().await {
-                Ok((socket, _)) => {
-                    let seat = Seat::new(self.clone());
-                    let serving = executor.clone();
-                    executor
-                        .spawn(async move { seat.ingress.clone().serve(socket, seat, serving).await })
-                        .detach();
-                }
-                Err(e) => {
-                    log::warn!("ingress: {e}");
-                    self.house.wheel.sleep(ACCEPT_REST).await;
-                }
-            }
-        }
+        let seats = self.seats.clone();
+        seats
+            .accept(&self.house.wheel, &listener, |socket, seat| {
+                executor.spawn(self.clone().serve(socket, seat, executor.clone())).detach();
+            })
+            .await;
     }
 
     /// From now on each answer is the last of its connection.
@@ -203,25 +185,6 @@
     items.find(|(k, _)| *k == "dest")?.1.parse().ok()
 }
 
-/// A place among the connections; dropped, it is free again.
-struct Seat {
-    ingress: Rc<Ingress>,
-}
-
-impl Seat {
-    fn new(ingress: Rc<Ingress>) -> Self {
-        ingress.open.set(ingress.open.get() + 1);
-        Seat { ingress }
-    }
-}
-
-impl Drop for Seat {
-    fn drop(&mut self) {
-        self.ingress.open.set(self.ingress.open.get() - 1);
-        let _ = self.ingress.room.0.try_send(());
-    }
-}
-
 /// The answer owed on a connection. Given, it hands the connection back; dropped, it closes it.
 struct Answer {
     stream: Stream,
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -1,6 +1,5 @@
 //! The platform's own protocol: messages by HTTP, providers by HTTP, its directory and its notices.
 
-pub mod config;
 pub mod http;
 pub mod ingress;
 pub mod list;
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,16 +1,20 @@
 //! A socket with what was read from it and not yet used.
 
+use crate::core::wheel::Wheel;
 use async_io::Async;
+use async_lock::Mutex;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use std::io;
+use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
 
 /// Most bytes read and dropped on a connection that is to close.
 const LEFTOVERS: usize = 256 * 1024;
 
 /// One connection.
 pub struct Stream {
-    socket: Async<TcpStream>,
+    socket: Rc<Async<TcpStream>>,
     /// What was read and not yet used.
     pub buf: Vec<u8>,
 }
@@ -25,20 +29,31 @@
     pub fn new(socket: Async<TcpStream>) -> io::Result<Self> {
         // Each message is one write and waits for its answer: there is nothing to gather.
         socket.get_ref().set_nodelay(true)?;
-        Ok(Stream { socket, buf: Vec::new() })
+        Ok(Stream { socket: Rc::new(socket), buf: Vec::new() })
     }
 
     /// Reads more; false at the end of what the other side sends.
     pub async fn fill(&mut self) -> io::Result<bool> {
         let mut chunk = [0; 8192];
-        let n = self.socket.read(&mut chunk).await?;
+        let n = (&*self.socket).read(&mut chunk).await?;
         self.buf.extend_from_slice(&chunk[..n]);
         Ok(n > 0)
     }
 
     /// Writes all of it.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.socket.write_all(bytes).await
+        (&*self.socket).write_all(bytes).await
+    }
+
+    /// A second hand on the connection, for writing while this one reads. What it writes goes whole; a write that is
+    /// stuck for `patience` ends the connection.
+    pub fn writer(&self, wheel: Rc<Wheel>, patience: Duration) -> Writer {
+        Writer { socket: self.socket.clone(), turn: Mutex::new(()), wheel, patience }
+    }
+
+    /// Writes a last word if the socket takes it at once; what does not go is not missed.
+    pub fn try_send(&self, bytes: &[u8]) {
+        let _ = self.socket.get_ref().write(bytes);
     }
 
     /// Ends what this side sends and takes no notice of the rest, so that a last answer is read before the close:
@@ -54,3 +69,31 @@
         self.buf.is_empty() && matches!(unread, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
+
+/// Writes to a connection that another hand reads from.
+pub struct Writer {
+    socket: Rc<Async<TcpStream>>,
+    /// One write at a time, or they would cut into each other.
+    turn: Mutex<()>,
+    wheel: Rc<Wheel>,
+    patience: Duration,
+}
+
+impl Writer {
+    /// Writes all of it, after what was written before.
+    pub async fn send(&self, bytes: &[u8]) -> io::Result<()> {
+        let _turn = self.turn.lock().await;
+        let sent = self.wheel.limit(self.patience, (&*self.socket).write_all(bytes)).await;
+        sent.unwrap_or(Err(io::ErrorKind::TimedOut.into())).inspect_err(|_| {
+            // Part of it may have gone: whatever followed would be read as its rest.
+            let _ = self.socket.get_ref().shutdown(Shutdown::Both);
+        })
+    }
+
+    /// Writes a last word if the socket takes it at once and nothing is half written.
+    pub fn try_send(&self, bytes: &[u8]) {
+        if self.turn.try_lock().is_some() {
+            let _ = self.socket.get_ref().write(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,47 @@
+//! The program on real sockets, against stand-ins for clients, providers and discovery. Each scenario is written once
+//! and runs unchanged on every front.
+
+mod discovery;
+mod http;
+mod mqtt;
+mod mqtt_only;
+mod platform_only;
+mod program;
+mod rig;
+mod scenarios;
+
+/// Runs the scenarios on one front.
+macro_rules! on_front {
+    ($front:ident, $wire:ty, $($scenario:ident),+ $(,)?) => {
+        mod $front {
+            $(#[test]
+            fn $scenario() {
+                crate::scenarios::$scenario::<$wire>();
+            })+
+        }
+    };
+}
+
+macro_rules! on_every_front {
+    ($($scenario:ident),+ $(,)?) => {
+        on_front!(platform, crate::http::Http, $($scenario),+);
+        on_front!(mqtt_front, crate::mqtt::Mqtt, $($scenario),+);
+    };
+}
+
+on_every_front!(
+    a_message_is_delivered_unchanged,
+    a_told_wait_is_kept_for_all_messages,
+    an_error_is_followed_by_the_same_zone_only,
+    a_drop_before_the_acknowledgement_may_have_run,
+    a_drop_before_the_last_byte_never_ran,
+    an_acknowledgement_after_16_s_counts_for_nothing,
+    a_draining_provider_gets_nothing_new,
+    what_was_taken_on_outlives_a_kill,
+    what_was_taken_on_outlives_a_planned_end,
+    a_message_out_of_time_at_the_start_ends_at_once,
+    a_full_sender_rejects_with_a_wait,
+    a_message_given_up_is_answered_at_once,
+    garbage_from_a_provider_counts_as_a_lost_call,
+    garbage_from_a_client_harms_nobody_else,
+);
--- /dev/null
+++ b/tests/sockets/program.rs
@@ -0,0 +1,88 @@
+//! The program under test, as a child process.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub struct Program {
+    child: Child,
+    lines: Receiver<String>,
+    seen: Vec<String>,
+}
+
+impl Program {
+    /// Starts it with an operator's file.
+    pub fn start(config: &Path) -> Self {
+        Program::spawn(Command::new(env!("CARGO_BIN_EXE_raildeal")).arg(config))
+    }
+
+    pub fn spawn(command: &mut Command) -> Self {
+        let command = command.env("RUST_LOG", "debug").stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
+        let (sender, lines) = channel();
+        let stderr = BufReader::new(child.stderr.take().expect("stderr"));
+        thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
+        Program { child, lines, seen: Vec::new() }
+    }
+
+    /// Waits for a line of the log that holds some words.
+    pub fn says(&mut self, words: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        while let Ok(line) = self.lines.recv_timeout(end.saturating_duration_since(Instant::now())) {
+            self.seen.push(line.clone());
+            if line.contains(words) {
+                return line;
+            }
+        }
+        panic!("never said '{words}':\n{}", self.seen.join("\n"));
+    }
+
+    /// Waits until it listens for some clients, and tells where.
+    pub fn port(&mut self, who: &str) -> SocketAddr {
+        let line = self.says(&format!("{who} at 127.0.0.1:"));
+        line.rsplit(' ').next().expect("an address").parse().expect("an address")
+    }
+
+    pub fn terminate(&self) {
+        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("ended");
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                self.seen.extend(self.lines.iter());
+                return status;
+            }
+            assert!(Instant::now() < end, "does not end");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn log(&mut self) -> String {
+        self.seen.extend(self.lines.try_iter());
+        self.seen.join("\n")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("{}", self.log());
+        }
+    }
+}
--- /dev/null
+++ b/tests/sockets/scenarios.rs
@@ -0,0 +1,223 @@
+//! What has to hold on every front. Times are those of the real deployment.
+
+use crate::rig::{message, Answer, End, Heard, Message, Rig, Wire};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+
+pub fn a_message_is_delivered_unchanged<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a")]);
+    let m = message("m1");
+    rig.take_on(&m);
+    let call = rig.call();
+    assert_eq!(Message { left: m.left, ..call.message.clone() }, m);
+    assert!(call.message.left <= m.left && call.message.left > Duration::from_secs(1));
+    call.answer(Answer::Delivered);
+    // The connection is used again.
+    rig.take_on(&message("m2"));
+    rig.call().answer(Answer::Delivered);
+    rig.finish(&["m1", "m2"]);
+}
+
+pub fn a_told_wait_is_kept_for_all_messages<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a")]);
+    rig.take_on(&message("m1"));
+    let told = Instant::now();
+    rig.call().answer(Answer::Full(Some(700)));
+    rig.take_on(&message("m2"));
+    let calls = [rig.call(), rig.call()];
+    for call in &calls {
+        assert!(call.at - told >= 700 * MS, "{} came too early", call.message.id);
+        call.answer(Answer::Delivered);
+    }
+    // The refused one goes first.
+    assert_eq!(calls[0].message.id, "m1");
+    rig.finish(&["m1", "m2"]);
+}
+
+pub fn an_error_is_followed_by_the_same_zone_only<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a"), ("q", "b")]);
+    rig.take_on(&message("m1"));
+    let first = rig.call();
+    first.answer(Answer::Error);
+    let second = rig.call();
+    assert_eq!(second.provider, first.provider);
+    assert_eq!(second.message.key, first.message.key);
+    second.answer(Answer::Delivered);
+    rig.finish(&["m1"]);
+}
+
+pub fn a_drop_before_the_acknowledgement_may_have_run<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a"), ("q", "b")]);
+    rig.take_on(&message("m1"));
+    let first = rig.call();
+    first.answer(Answer::Drop);
+    let second = rig.call();
+    assert_eq!(second.provider, first.provider);
+    second.answer(Answer::Delivered);
+    rig.finish(&["m1"]);
+}
+
+pub fn a_drop_before_the_last_byte_never_ran<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[]);
+    // A port that nobody listens at.
+    let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    rig.discovery.list("gone", gone, "a", W::KIND, "active");
+    rig.program.says("provider gone ");
+    rig.take_on(&message("m1"));
+    rig.program.says("gone ConnectFailed");
+    // It may go to the other zone, as nothing has run.
+    rig.add_provider("q", "b");
+    rig.call().answer(Answer::Delivered);
+    rig.finish(&["m1"]);
+}
+
+pub fn an_acknowledgement_after_16_s_counts_for_nothing<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a"), ("q", "b")]);
+    let started = Instant::now();
+    rig.take_on(&message("m1"));
+    let first = rig.call();
+    // Each attempt is given up before the next one goes (the provider's stand-in watches that), and stays in the
+    // zone that may have run it.
+    first.hung_up();
+    let mut calls = vec![first];
+    let end = loop {
+        if let Some(end) = rig.end_within("m1", 50 * MS) {
+            break end;
+        }
+        if let Ok(call) = rig.calls.try_recv() {
+            assert_eq!(call.provider, calls[0].provider);
+            calls.push(call);
+        }
+        assert!(started.elapsed() < Duration::from_millis(16_300), "no end in time");
+    };
+    assert_eq!(end, End::Undeliverable);
+    std::thread::sleep(Duration::from_millis(16_100).saturating_sub(started.elapsed()));
+    calls.iter().for_each(|c| c.answer(Answer::Delivered));
+    rig.finish(&[]);
+}
+
+pub fn a_draining_provider_gets_nothing_new<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a"), ("q", "b")]);
+    rig.take_on(&message("m0"));
+    let out = rig.call();
+    let drained = out.provider.clone();
+    rig.drain(&drained);
+    for i in 1..=6 {
+        rig.take_on(&message(&format!("m{i}")));
+        let call = rig.call();
+        assert_ne!(call.provider, drained);
+        call.answer(Answer::Delivered);
+    }
+    // What was out goes to its end.
+    out.answer(Answer::Delivered);
+    rig.finish(&["m0", "m1", "m2", "m3", "m4", "m5", "m6"]);
+}
+
+pub fn what_was_taken_on_outlives_a_kill<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a"), ("q", "b")]);
+    rig.take_on(&message("m1"));
+    let first = rig.call();
+    rig.program.kill();
+    rig.start_again();
+    // It may have run: only the same zone will do.
+    let second = rig.call();
+    assert_eq!(second.provider, first.provider);
+    assert_eq!(Message { left: first.message.left, ..second.message.clone() }, first.message);
+    second.answer(Answer::Delivered);
+    rig.finish(&["m1"]);
+}
+
+pub fn what_was_taken_on_outlives_a_planned_end<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a")]);
+    rig.take_on(&message("m1"));
+    rig.call().answer(Answer::Full(Some(5000)));
+    rig.program.says("Full");
+    rig.program.terminate();
+    rig.program.says("told to end");
+    // Connections that still come are answered.
+    rig.client = W::client(rig.address);
+    rig.take_on(&message("m2"));
+    assert!(rig.program.ended().success());
+    rig.quiet(10 * MS);
+    rig.start_again();
+    for _ in 0..2 {
+        rig.call().answer(Answer::Delivered);
+    }
+    rig.finish(&["m1", "m2"]);
+}
+
+pub fn a_message_out_of_time_at_the_start_ends_at_once<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a")]);
+    rig.take_on(&Message { left: Duration::from_secs(1), ..message("m1") });
+    let out = rig.call();
+    rig.program.kill();
+    std::thread::sleep(1100 * MS);
+    rig.start_again();
+    assert_eq!(rig.end("m1"), End::Undeliverable);
+    drop(out);
+    rig.finish(&[]);
+}
+
+pub fn a_full_sender_rejects_with_a_wait<W: Wire>() {
+    let mut rig = Rig::<W>::start_with(&[("p", "a")], 2);
+    rig.take_on(&message("m1"));
+    let out = rig.call();
+    for id in ["m2", "m3"] {
+        let Heard::Rejected(wait) = rig.hand_in(&message(id)) else { panic!("{id} not rejected") };
+        assert!(wait > Duration::ZERO && wait <= Duration::from_secs(2));
+    }
+    out.answer(Answer::Delivered);
+    rig.program.says("m1: p Ok");
+    rig.take_on(&message("m2"));
+    rig.call().answer(Answer::Delivered);
+    rig.finish(&["m1", "m2"]);
+}
+
+pub fn a_message_given_up_is_answered_at_once<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a")]);
+    rig.take_on(&Message { left: Duration::from_secs(2), ..message("m1") });
+    let told = Instant::now();
+    rig.call().answer(Answer::Full(Some(5000)));
+    // The wait outlasts it: no reason to hold it to its deadline.
+    let End::Deferred(again) = rig.end("m1") else { panic!("not deferred") };
+    assert!(told.elapsed() < Duration::from_millis(500));
+    assert_eq!(again, Duration::from_secs(2), "the wait, as far as clients heed one");
+    // And one that cannot make it is turned away as it comes, with the time to come back.
+    let Heard::Rejected(wait) = rig.hand_in(&Message { left: Duration::from_secs(2), ..message("m2") })
+    else {
+        panic!("not rejected");
+    };
+    assert!(wait > Duration::from_secs(1));
+    rig.finish(&[]);
+}
+
+pub fn garbage_from_a_provider_counts_as_a_lost_call<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a"), ("q", "b")]);
+    rig.take_on(&message("m1"));
+    let first = rig.call();
+    first.answer(Answer::Garbage);
+    let second = rig.call();
+    assert_eq!(second.provider, first.provider);
+    second.answer(Answer::Delivered);
+    rig.finish(&["m1"]);
+}
+
+pub fn garbage_from_a_client_harms_nobody_else<W: Wire>() {
+    let mut rig = Rig::<W>::start(&[("p", "a")]);
+    let address = rig.address;
+    for bytes in W::garbage() {
+        let mut stream = TcpStream::connect(address).expect("connected");
+        // It may be cut off before all is written.
+        let _ = stream.write_all(&bytes);
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).expect("an answer and an end, no reset");
+        assert!(!answer.is_empty());
+    }
+    rig.take_on(&message("m1"));
+    rig.call().answer(Answer::Delivered);
+    rig.finish(&["m1"]);
+}
