Write a delivery down as one that ran before its verdict is written

A process killed between the two lines would have sent the message again, to any zone. Also on reading: a told wait is noted where the call ends, for the provider that was called; a final answer longer than an MQTT client takes counts as sent.

--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -170,9 +170,6 @@
                 let report = call(house, envelope, &record, endpoint, span(timeout), deadline).await;
                 let over = report.over;
                 let delivered = report.outcome == Outcome::Ok;
-                if let Outcome::Full { wait } = report.outcome {
-                    note_wait(house, endpoint, span(wait));
-                }
                 ticket.report(report);
                 if delivered {
                     break Verdict::Delivered;
@@ -216,11 +213,13 @@
         went.get()
     };
     let report = house.invoker.call(provider.clone(), envelope, timeout, &go).await;
+    if let Outcome::Full { wait } = report.outcome {
+        house.directory.told_wait(&provider, Instant::now() + span(wait));
+    }
     if went.get() {
-        record.back(matches!(
-            report.outcome,
-            Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled
-        ));
+        // A delivery ran, too: a process that ends before the verdict is written must not send it to another zone.
+        let never = matches!(report.outcome, Outcome::Full { .. } | Outcome::ConnectFailed | Outcome::Moot);
+        record.back(!never);
     }
     log::debug!("{}: {} {:?}", envelope.id, provider.entry.uid, report.outcome);
     report
@@ -238,12 +237,6 @@
     }
 }
 
-fn note_wait(house: &House, endpoint: Endpoint, wait: Duration) {
-    if let Some(p) = house.directory.provider(endpoint).filter(|_| !wait.is_zero()) {
-        house.directory.told_wait(&p, Instant::now() + wait);
-    }
-}
-
 fn message(envelope: &Envelope, left: Duration) -> Message {
     let ttl = left.as_nanos() as Time;
     Message { class: envelope.class, dest: envelope.dest, ttl, ..Message::default() }
--- a/src/net/mqtt/ingress.rs
+++ b/src/net/mqtt/ingress.rs
@@ -54,8 +54,9 @@
     /// Final answers that are out here, by packet id, and those who wait for their acknowledgement.
     out: RefCell<HashMap<u16, Sender<()>>>,
     next_pid: Cell<u16>,
-    /// As many answers may be out as the client takes.
+    /// As many answers may be out as the client takes, none longer than this.
     room: Semaphore,
+    most: usize,
     /// Closed when the connection has to end.
     ending: (Sender<()>, Receiver<()>),
 }
@@ -144,7 +145,16 @@
         };
         let Ok(id) = Pid::try_from(pid) else { return false };
         publish.qos_pid = QosPid::Level1(id);
-        let sent = self.send(&Packet::Publish(publish)).await.is_ok();
+        let sent = match encode(&Packet::Publish(publish)) {
+            // What a client does not take counts as sent (MQTT 5, section 3.1.2.11.4).
+            Ok(bytes) if bytes.len() > self.most => {
+                log::warn!("mqtt: a final answer is longer than its client takes");
+                self.out.borrow_mut().remove(&pid);
+                return true;
+            }
+            Ok(bytes) => self.writer.send(&bytes).await.is_ok(),
+            Err(_) => false,
+        };
         let ended = async {
             let _ = self.ending.1.recv().await;
             false
@@ -364,6 +374,7 @@
             filters: RefCell::default(),
             out: RefCell::default(),
             next_pid: Cell::new(1),
+            most: connect.properties.max_packet_size.map_or(usize::MAX, |most| most as usize),
             room: Semaphore::new(usize::from(connect.properties.receive_max.unwrap_or(u16::MAX))),
             ending: async_channel::bounded(1),
         });
