--- a/tests/sockets/scenarios.rs
+++ b/tests/sockets/scenarios.rs
@@ -26,6 +26,7 @@
     rig.take_on(&message("m1"));
     let told = Instant::now();
     rig.call().answer(Answer::Full(Some(700)));
+    rig.program.says("m1: p Full");
     rig.take_on(&message("m2"));
     let calls = [rig.call(), rig.call()];
     for call in &calls {
