--- a/src/net/mqtt/ingress.rs
+++ b/src/net/mqtt/ingress.rs
@@ -39,6 +39,9 @@
 /// Filters that one client may hold.
 const MAX_FILTERS: usize = 64;
 
+/// CONNACK of MQTT 3.1.1: unacceptable protocol version.
+const OLD_REFUSAL: &[u8] = &[0x20, 2, 0, 1];
+
 /// Where a final answer goes; kept with the message in the journal.
 #[derive(Serialize, Deserialize)]
 struct ReplyTo {
@@ -352,13 +355,15 @@
             Some(Ok(Some(Packet::Connect(connect)))) => connect,
             Some(Err(e)) if Bad::behind(&e).is_some() => {
                 log::debug!("mqtt: no CONNECT but {e}");
-                let code = match Bad::behind(&e) {
-                    Some(Bad::Version) => ConnectReasonCode::UnsupportedProtocolVersion,
-                    Some(Bad::TooLarge) => ConnectReasonCode::PacketTooLarge,
-                    _ => ConnectReasonCode::MalformedPacket,
+                let refusal = |code| encode(&Packet::Connack(Connack::new(false, code)));
+                let bytes = match Bad::behind(&e) {
+                    // An old client could not read the answer of version 5.
+                    Some(Bad::Old) => Ok(OLD_REFUSAL.to_vec()),
+                    Some(Bad::Version) => refusal(ConnectReasonCode::UnsupportedProtocolVersion),
+                    Some(Bad::TooLarge) => refusal(ConnectReasonCode::PacketTooLarge),
+                    _ => refusal(ConnectReasonCode::MalformedPacket),
                 };
-                let refusal = Connack::new(false, code);
-                if let Ok(bytes) = encode(&Packet::Connack(refusal)) {
+                if let Ok(bytes) = bytes {
                     let _ = writer.send(&bytes).await;
                 }
                 self.house.wheel.limit(GREETING, stream.part()).await;
--- a/src/net/mqtt/packets.rs
+++ b/src/net/mqtt/packets.rs
@@ -14,6 +14,8 @@
 pub enum Bad {
     /// Over [`MAX_PACKET`].
     TooLarge,
+    /// MQTT before version 5.
+    Old,
     /// Another version, or another protocol.
     Version,
     /// Broken.
@@ -24,6 +26,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Bad::TooLarge => write!(f, "a packet over {MAX_PACKET} bytes"),
+            Bad::Old => write!(f, "MQTT before version 5"),
             Bad::Version => write!(f, "not MQTT 5"),
             Bad::Malformed(what) => write!(f, "malformed packet: {what}"),
         }
@@ -53,7 +56,8 @@
     match Packet::decode(whole) {
         Ok(Some(packet)) => Ok(Some((packet, total))),
         Ok(None) => Err(Bad::Malformed("shorter than its own fields".into())),
-        Err(ErrorV5::Common(Error::UnexpectedProtocol(_) | Error::InvalidProtocol(..))) => Err(Bad::Version),
+        Err(ErrorV5::Common(Error::UnexpectedProtocol(_))) => Err(Bad::Old),
+        Err(ErrorV5::Common(Error::InvalidProtocol(..))) => Err(Bad::Version),
         Err(e) => Err(Bad::Malformed(e.to_string())),
     }
 }
--- a/tests/sockets/mqtt_only.rs
+++ b/tests/sockets/mqtt_only.rs
@@ -2,9 +2,9 @@
 
 use crate::mqtt::{connect, publish, read, send, subscribe, Mqtt};
 use crate::rig::{message, Answer, Rig};
-use mqtt_proto::v5::{ConnectReasonCode, DisconnectReasonCode, Packet, Puback, PubackReasonCode, Publish};
+use mqtt_proto::v5::{DisconnectReasonCode, Packet, Puback, PubackReasonCode, Publish};
 use mqtt_proto::{v3, QosPid};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 
 fn acknowledged(stream: &mut TcpStream) -> Puback {
@@ -67,10 +67,12 @@
     let mut old = TcpStream::connect(rig.address).expect("connected");
     let connect_v3 = v3::Packet::Connect(v3::Connect::new("old".into(), 10)).encode().expect("encoded");
     old.write_all(connect_v3.as_ref()).expect("written");
-    match read(&mut old).expect("an answer") {
-        Packet::Connack(ack) => assert_eq!(ack.reason_code, ConnectReasonCode::UnsupportedProtocolVersion),
-        other => panic!("{other:?}"),
-    }
+    // In the words of its own version, or it could not read them.
+    let mut told = Vec::new();
+    old.read_to_end(&mut told).expect("an answer and an end");
+    let refused =
+        v3::Packet::Connack(v3::Connack::new(false, v3::ConnectReturnCode::UnacceptableProtocolVersion));
+    assert_eq!(told, refused.encode().expect("encoded").as_ref());
     let cut_off = |publish: Publish| {
         let mut stream = connect(rig.address);
         send(&mut stream, &Packet::Publish(publish)).expect("written");
