--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -4,6 +4,8 @@
 //! compaction together stay under the limit; when they could not, no further message is taken on.
 
 use super::{unix_ms, Envelope, Verdict};
+use rustix::fs::{flock, FlockOperation};
+use rustix::io::Errno;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::cell::RefCell;
@@ -67,6 +69,8 @@
 
 /// The journal.
 pub struct Journal {
+    /// Held for as long as the process lives; a second one in this folder would send everything once more.
+    _lock: File,
     path: PathBuf,
     limit: u64,
     book: RefCell<Book>,
@@ -84,6 +88,7 @@
 impl Journal {
     /// Opens the journal of a folder, and gives the records that an earlier process left open.
     pub fn open(folder: &Path, limit: u64) -> io::Result<(Rc<Self>, Vec<Record>)> {
+        let lock = lock(&folder.join("lock"))?;
         let path = folder.join("journal");
         let bytes = match fs::read(&path) {
             Err(e) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
@@ -104,7 +109,7 @@
             book.live += size;
             book.open.insert(no, (account, size));
         }
-        let journal = Rc::new(Journal { path, limit, book: RefCell::new(book) });
+        let journal = Rc::new(Journal { _lock: lock, path, limit, book: RefCell::new(book) });
         journal.compact(&mut journal.book.borrow_mut())?;
         let open: Vec<u64> = journal.book.borrow().open.keys().copied().collect();
         let records = open.into_iter().map(|no| Record { journal: journal.clone(), no }).collect();
@@ -208,8 +213,12 @@
         let mut book = self.journal.book.borrow_mut();
         let sent = matches!(entry, Line::Sent(..));
         let written = sent.then(|| self.journal.append(&mut book, &bytes)).transpose()?;
-        if let Some((account, _)) = book.open.get_mut(&self.no) {
+        if let Some((account, size)) = book.open.get_mut(&self.no) {
+            let body = account.envelope.body.len();
             account.apply(entry);
+            let spared = (body - account.envelope.body.len()) as u64;
+            *size -= spared;
+            book.live -= spared;
         }
         // What ends something is true whether or not it can be written; a compaction may write it by the account.
         written.map_or_else(|| self.journal.append(&mut book, &bytes), Ok)
@@ -227,7 +236,11 @@
                 let sent = self.out.take().filter(|_| may_have_run);
                 self.ran = self.ran.take().or(sent);
             }
-            Line::Ended(_, verdict) => self.verdict = Some(verdict),
+            Line::Ended(_, verdict) => {
+                self.verdict = Some(verdict);
+                // An answer may wait long for its client; the message itself goes nowhere any more.
+                Rc::make_mut(&mut self.envelope).body = Vec::new();
+            }
             Line::Open(..) | Line::Closed(_) => {}
         }
     }
@@ -238,6 +251,18 @@
     }
 }
 
+fn lock(path: &Path) -> io::Result<File> {
+    let file = OpenOptions::new().create(true).truncate(false).write(true).open(path)?;
+    match flock(&file, FlockOperation::NonBlockingLockExclusive) {
+        Err(Errno::WOULDBLOCK) => Err(io::Error::new(io::ErrorKind::WouldBlock, "in use by another process")),
+        Err(e) => {
+            log::warn!("journal: no lock: {e}");
+            Ok(file)
+        }
+        Ok(()) => Ok(file),
+    }
+}
+
 fn next_path(path: &Path) -> PathBuf {
     path.with_extension("new")
 }
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -43,6 +43,7 @@
     c.back(true);
     c.ended(Verdict::Deferred { again_ms: 500 });
     d.close();
+    drop((journal, a, b, c));
     // Open it twice: the second time from its own compaction.
     for _ in 0..2 {
         let (_, records) = Journal::open(folder.path(), ROOM).expect("opened");
@@ -53,6 +54,7 @@
         assert_eq!((b.may_have_run(), b.attempts, b.verdict), (None, 1, None));
         assert_eq!(c.may_have_run().map(|s| s.zone.as_str()), Some("x"), "the first zone counts");
         assert_eq!((c.attempts, c.verdict), (2, Some(Verdict::Deferred { again_ms: 500 })));
+        assert!(c.envelope.body.is_empty(), "what has its verdict is only to be told of it");
     }
 }
 
@@ -60,7 +62,7 @@
 fn a_torn_end_costs_only_what_was_being_written() {
     let folder = TempDir::new().expect("a folder");
     let (journal, _) = Journal::open(folder.path(), ROOM).expect("opened");
-    let _open = [take_on(&journal, "a"), take_on(&journal, "b")];
+    let open = [take_on(&journal, "a"), take_on(&journal, "b")];
     let path = folder.path().join("journal");
     let whole = fs::read(&path).expect("a file");
     let first = replay(&whole[..whole.len() - 1]).1;
@@ -68,11 +70,13 @@
         let (open, good) = replay(&whole[..cut]);
         assert!(good <= cut && open.len() == usize::from(cut >= first));
     }
+    drop((journal, open));
     fs::write(&path, &whole[..whole.len() - 3]).expect("written");
     let (journal, records) = Journal::open(folder.path(), ROOM).expect("opened");
     assert_eq!(records.len(), 1);
     // What is written after it is found again.
-    let _c = take_on(&journal, "c");
+    let c = take_on(&journal, "c");
+    drop((journal, records, c));
     assert_eq!(Journal::open(folder.path(), ROOM).expect("opened").1.len(), 2);
 }
 
@@ -115,6 +119,33 @@
     // Room comes back with what is closed.
     open.drain(..4).for_each(Record::close);
     open.push(journal.take_on(envelope("n", 2000), 99).expect("taken on"));
-    let again = Journal::open(folder.path(), limit).expect("opened").1;
-    assert_eq!(again.len(), open.len());
+    let kept = open.len();
+    drop((journal, open));
+    assert_eq!(Journal::open(folder.path(), limit).expect("opened").1.len(), kept);
+}
+
+#[test]
+fn a_folder_serves_one_process_and_one_form() {
+    let folder = TempDir::new().expect("a folder");
+    let first = Journal::open(folder.path(), ROOM).expect("opened");
+    let refused = |words: &str| {
+        let told = Journal::open(folder.path(), ROOM).err().expect("refused").to_string();
+        assert!(told.contains(words), "{told}");
+    };
+    refused("another process");
+    drop(first);
+    fs::write(folder.path().join("journal"), "something else").expect("written");
+    refused("another form");
+}
+
+#[test]
+fn an_answer_that_waits_takes_no_room_for_its_message() {
+    let folder = TempDir::new().expect("a folder");
+    let (journal, _) = Journal::open(folder.path(), 100_000).expect("opened");
+    let mut waiting = Vec::new();
+    for _ in 0..10 {
+        let record = journal.take_on(envelope("m", 20_000), 99).expect("room");
+        record.ended(Verdict::Delivered);
+        waiting.push(record);
+    }
 }
