Split the MQTT sessions from the port, and keep to the standard where clients can tell

Seen on reading against MQTT 5: a client that came back under its name did not end its old connection, a subscription at QoS 0 was answered at QoS 1, reasons were sent to clients that asked for none, and extended authentication was passed over in silence. The sessions and their guards are a module of their own (net/mqtt/sessions.rs). The platform's path is untouched.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,6 +18,9 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+/// Longest body taken.
+pub const MAX_BODY: usize = 64 * 1024;
+
 /// A future of this one thread.
 pub type Local<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,7 +18,8 @@
 use raildeal::net::calls::Calls;
 use raildeal::net::dns::server::{UpdatePort, Zones};
 use raildeal::net::mqtt::brokers::Publisher;
-use raildeal::net::mqtt::ingress::{Port, Sessions};
+use raildeal::net::mqtt::ingress::Port;
+use raildeal::net::mqtt::sessions::Sessions;
 use raildeal::net::platform::ingress::Ingress;
 use raildeal::net::platform::notices::Notices;
 use raildeal::net::platform::providers::Poster;
@@ -177,7 +178,7 @@
     }
     let (seats, run) = (Seats::new(config.sockets / 2), executor.clone());
     let ingress = Ingress::new(house.clone(), deployment, PLATFORM, run.clone());
-    let port = sessions.map(|s| Port::new(house.clone(), s, deployment, MQTT, run.clone()));
+    let port = sessions.clone().map(|s| Port::new(house.clone(), s, deployment, MQTT, run.clone()));
     let mut listening = Vec::new();
     if let Some(listener) = platform_port {
         let clients = seats.clone().listen(listener, ingress.clone(), wheel.clone(), run.clone());
@@ -213,7 +214,7 @@
         desk.calls_ended().await;
     };
     finishing.or(async { wheel.sleep(END).await }).await;
-    port.iter().for_each(|p| p.farewell());
+    sessions.iter().for_each(|s| s.farewell());
     log::info!("{name}: ends with {} messages for the next start", desk.held());
     Ok(())
 }
--- a/src/net/mqtt/mod.rs
+++ b/src/net/mqtt/mod.rs
@@ -3,3 +3,4 @@
 pub mod brokers;
 pub mod ingress;
 pub mod packets;
+pub mod sessions;
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -1,12 +1,11 @@
 //! HTTP/1.1 as far as the platform speaks it: heads by httparse, bodies by length, by chunks or to the end.
 
+use crate::core::MAX_BODY;
 use crate::net::stream::Stream;
 use std::io;
 
 /// Longest head taken.
 const MAX_HEAD: usize = 16 * 1024;
-/// Longest body taken.
-pub const MAX_BODY: usize = 64 * 1024;
 /// Longest line of a chunked body that only tells a size.
 const MAX_CHUNK_LINE: usize = 1024;
 
--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -2,7 +2,7 @@
 
 use super::http;
 use crate::core::wheel::Wheel;
-use crate::core::{Envelope, Front, Local, Verdict};
+use crate::core::{Envelope, Front, Local, Verdict, MAX_BODY};
 use crate::net::stream::Stream;
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
@@ -74,7 +74,7 @@
             format!("POST /v1/notices HTTP/1.1\r\nHost: {address}\r\nContent-Length: {length}\r\n\r\n{body}");
         stream.send(request.as_bytes()).await?;
         let answer = http::read_response(&mut stream).await?;
-        http::read_body(&mut stream, answer.body, http::MAX_BODY).await?;
+        http::read_body(&mut stream, answer.body, MAX_BODY).await?;
         *kept = Some(stream).filter(|_| answer.keep_alive);
         Ok(answer.status)
     }
--- a/src/net/platform/providers.rs
+++ b/src/net/platform/providers.rs
@@ -2,7 +2,7 @@
 
 use super::http::{self, Response};
 use crate::core::directory::Provider;
-use crate::core::{Envelope, Report};
+use crate::core::{Envelope, Report, MAX_BODY};
 use crate::net::calls::Dialect;
 use crate::net::stream::Stream;
 use crate::{Outcome, Time};
@@ -10,9 +10,6 @@
 use std::io;
 use std::time::Duration;
 
-/// Longest body of an answer that is read to keep its connection.
-const MAX_REST: usize = 64 * 1024;
-
 /// The words of a call by HTTP.
 pub struct Poster {
     /// Names of the values in a load report.
@@ -46,7 +43,7 @@
 
     async fn rest(&self, stream: &mut Stream, answer: Response) -> io::Result<bool> {
         if answer.keep_alive {
-            http::read_body(stream, answer.body, MAX_REST).await?;
+            http::read_body(stream, answer.body, MAX_BODY).await?;
         }
         Ok(answer.keep_alive)
     }
--- a/tests/sockets/mqtt.rs
+++ b/tests/sockets/mqtt.rs
@@ -11,6 +11,7 @@
 use raildeal::net::mqtt::packets::{decode, encode, property, user};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::Duration;
@@ -54,9 +55,16 @@
     publish
 }
 
+/// Connects as a client of its own name.
 pub fn connect(address: SocketAddr) -> TcpStream {
+    static MADE: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("tester-{}", MADE.fetch_add(1, Ordering::Relaxed));
+    connect_as(address, Connect::new(name.as_str().into(), 60))
+}
+
+pub fn connect_as(address: SocketAddr, connect: Connect) -> TcpStream {
     let mut stream = TcpStream::connect(address).expect("connected");
-    send(&mut stream, &Packet::Connect(Connect::new("tester".into(), 60))).expect("written");
+    send(&mut stream, &Packet::Connect(connect)).expect("written");
     match read(&mut stream).expect("an answer") {
         Packet::Connack(ack) => assert_eq!(ack.reason_code, ConnectReasonCode::Success),
         other => panic!("{other:?}"),
@@ -64,9 +72,9 @@
     stream
 }
 
-pub fn subscribe(stream: &mut TcpStream) {
+pub fn subscribe(stream: &mut TcpStream, qos: QoS) {
     let filter = TopicFilter::try_from("replies/+").expect("a filter");
-    let topics = vec![(filter, SubscriptionOptions::new(QoS::Level1))];
+    let topics = vec![(filter, SubscriptionOptions::new(qos))];
     let pid = Pid::try_from(9).expect("a packet id");
     send(stream, &Packet::Subscribe(Subscribe::new(pid, topics))).expect("written");
 }
@@ -96,7 +104,7 @@
 
     fn client(address: SocketAddr) -> Self {
         let mut stream = connect(address);
-        subscribe(&mut stream);
+        subscribe(&mut stream, QoS::Level1);
         assert!(matches!(read(&mut stream), Ok(Packet::Suback(_))));
         let ((acked, acks), (ended, ends)) = (channel(), channel());
         let mut other = stream.try_clone().expect("a socket");
