--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -6,7 +6,7 @@
 use super::hook::{Hook, Ruling};
 use super::journal::{Journal, Record, Sent, Unwritten};
 use super::wheel::Wheel;
-use super::{span, unix_ms, Envelope, Front, Invoker, Local, Report, Verdict};
+use super::{span, unix_ms, Envelope, Front, Invoker, InvokerCall, Local, Report, Verdict};
 use crate::{Effect, Endpoint, Message, Outcome, Past, Settings, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -212,7 +212,8 @@
         went.set(allowed && record.sent(&provider.entry.zone).is_ok());
         went.get()
     };
-    let report = house.invoker.call(provider.clone(), envelope, timeout, &go).await;
+    let report =
+        house.invoker.call(InvokerCall { provider: provider.clone(), envelope, timeout, go: &go }).await;
     if let Outcome::Full { wait } = report.outcome {
         house.directory.told_wait(&provider, Instant::now() + span(wait));
     }
--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -19,8 +19,10 @@
 const FORM: &[u8] = b"raildeal journal 1\n";
 /// Bytes before a line's payload: its length and its checksum.
 const HEAD: usize = 8;
-/// What a message may add to its line by its calls and its end, and what the file system rounds up.
-const SLACK: u64 = 1024;
+/// What calls and a verdict may add to a message's line: two zones' names above all.
+const SLACK: u64 = 576;
+/// What files take beyond their bytes, counted in whole blocks.
+const ROUNDING: u64 = 2048;
 
 /// A call that may have run: when it was sent and to which zone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -136,7 +138,7 @@
 
     /// Appends a line that is already in the book's account, or is about to be.
     fn append(&self, book: &mut Book, bytes: &[u8]) -> io::Result<()> {
-        let room = self.limit.saturating_sub(SLACK);
+        let room = self.limit.saturating_sub(ROUNDING);
         if book.len + bytes.len() as u64 + book.live > room {
             self.compact(book)?;
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -82,17 +82,22 @@
     }
 }
 
-/// Makes invoker calls, one message each, over connections that it owns.
+/// One attempt to deliver a message.
+pub struct InvokerCall<'a> {
+    /// Where to.
+    pub provider: Rc<Provider>,
+    /// What.
+    pub envelope: &'a Envelope,
+    /// How long its answer is waited for.
+    pub timeout: Duration,
+    /// Asked right before the first byte; where it says no, nothing is sent and the outcome is moot.
+    pub go: &'a dyn Fn() -> bool,
+}
+
+/// Makes invoker calls over connections that it owns.
 pub trait Invoker {
-    /// Calls a provider. `go` is asked right before the first byte; where it says no, nothing is sent and the outcome
-    /// is moot. When this returns, or is dropped, the provider can see that the call is no longer out.
-    fn call<'a>(
-        &'a self,
-        provider: Rc<Provider>,
-        envelope: &'a Envelope,
-        timeout: Duration,
-        go: &'a dyn Fn() -> bool,
-    ) -> Local<'a, Report>;
+    /// Makes a call. When this returns, or is dropped, the provider can see that the call is no longer out.
+    fn call<'a>(&'a self, call: InvokerCall<'a>) -> Local<'a, Report>;
 
     /// Closes the connections to a provider that carry no call.
     fn close_idle(&self, provider: &Provider);
--- a/src/net/by_kind.rs
+++ b/src/net/by_kind.rs
@@ -4,10 +4,9 @@
 use super::mqtt::brokers::Publisher;
 use super::platform::providers::Poster;
 use crate::core::directory::Provider;
-use crate::core::{Envelope, Invoker, Local, Report};
+use crate::core::{Invoker, InvokerCall, Local, Report};
 use futures_lite::FutureExt;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Calls providers, each by its own wire.
 pub struct ByKind {
@@ -35,14 +34,8 @@
 }
 
 impl Invoker for ByKind {
-    fn call<'a>(
-        &'a self,
-        provider: Rc<Provider>,
-        envelope: &'a Envelope,
-        timeout: Duration,
-        go: &'a dyn Fn() -> bool,
-    ) -> Local<'a, Report> {
-        self.invoker(&provider).call(provider, envelope, timeout, go)
+    fn call<'a>(&'a self, call: InvokerCall<'a>) -> Local<'a, Report> {
+        self.invoker(&call.provider).call(call)
     }
 
     fn close_idle(&self, provider: &Provider) {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -3,7 +3,7 @@
 
 use crate::core::directory::Provider;
 use crate::core::wheel::Wheel;
-use crate::core::{Envelope, Invoker, Local, Report};
+use crate::core::{Envelope, Invoker, InvokerCall, Local, Report};
 use crate::net::stream::Stream;
 use crate::Outcome;
 use futures_lite::{Future, FutureExt};
@@ -104,13 +104,8 @@
         Ok(Link { stream, idle_most, since: Instant::now() })
     }
 
-    async fn exchange(
-        &self,
-        provider: &Provider,
-        envelope: &Envelope,
-        timeout: Duration,
-        go: &dyn Fn() -> bool,
-    ) -> Report {
+    async fn exchange(&self, call: InvokerCall<'_>) -> Report {
+        let InvokerCall { provider, envelope, timeout, go } = call;
         let (address, deadline) = (provider.entry.address, Instant::now() + timeout);
         let left = || deadline.saturating_duration_since(Instant::now());
         let mut link = match self.kept(address) {
@@ -123,7 +118,7 @@
                 }
             },
         };
-        let request = self.dialect.request(provider, envelope, left());
+        let request = self.dialect.request(&provider, envelope, left());
         let bytes = match request.inspect_err(|e| log::error!("calls: {} cannot be said: {e}", envelope.id)) {
             Ok(bytes) if go() => bytes,
             _ => {
@@ -153,15 +148,9 @@
 }
 
 impl<D: Dialect> Invoker for Calls<D> {
-    fn call<'a>(
-        &'a self,
-        provider: Rc<Provider>,
-        envelope: &'a Envelope,
-        timeout: Duration,
-        go: &'a dyn Fn() -> bool,
-    ) -> Local<'a, Report> {
+    fn call<'a>(&'a self, call: InvokerCall<'a>) -> Local<'a, Report> {
         // The connection lives in the exchange: whatever ends that has closed it, or put it back, before its report.
-        async move { self.exchange(&provider, envelope, timeout, go).await }.boxed_local()
+        self.exchange(call).boxed_local()
     }
 
     fn close_idle(&self, provider: &Provider) {
--- a/tests/invocation.rs
+++ b/tests/invocation.rs
@@ -6,7 +6,7 @@
 use raildeal::core::invocation::{serve, House, Reply};
 use raildeal::core::journal::{replay, Journal};
 use raildeal::core::wheel::Wheel;
-use raildeal::core::{Envelope, Front, Invoker, Local, Report, Verdict};
+use raildeal::core::{Envelope, Front, Invoker, InvokerCall, Local, Report, Verdict};
 use raildeal::{Class, Condition, DedupScope, Effect, Kind, Outcome, Relay, Settings};
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -32,19 +32,13 @@
 }
 
 impl Invoker for Answers {
-    fn call<'a>(
-        &'a self,
-        provider: Rc<Provider>,
-        _: &'a Envelope,
-        _: Duration,
-        go: &'a dyn Fn() -> bool,
-    ) -> Local<'a, Report> {
+    fn call<'a>(&'a self, call: InvokerCall<'a>) -> Local<'a, Report> {
         Box::pin(async move {
             if let Some(meanwhile) = self.meanwhile.borrow_mut().take() {
-                meanwhile(&self.desk, &self.directory, &provider);
+                meanwhile(&self.desk, &self.directory, &call.provider);
             }
-            let went = go();
-            self.went.borrow_mut().push((provider.entry.zone.clone(), went));
+            let went = (call.go)();
+            self.went.borrow_mut().push((call.provider.entry.zone.clone(), went));
             let outcome = if went { self.left.borrow_mut().pop_front() } else { Some(Outcome::Moot) };
             outcome.expect("no more calls than answers").into()
         })
