Move watch and notices to the discovery of a configuration read again on SIGHUP

SIGHUP re-read the zone file only (main.rs); `Watch` and `Notices` copied the address once, so after the old address closed, notices were posted to nobody for ever and the list stood still.

NODE_DISCOVERY went before the file, so reading the file again alone would have changed nothing; the file's `discovery` now goes first, at the start too, or a restart would go back to the old address.

Now one owner, `platform/discovery.rs`, holds the address. Both users run their exchanges under `while_there`, which ends when it moves: a connect, a time-out or a rest at the old address delays nothing. After a move the first whole list counts even at a lower version. A file that cannot be used is logged with its setting. Lines of the directory's log are debug now: they grow with providers ever seen.

--- a/src/config.rs
+++ b/src/config.rs
@@ -213,7 +213,8 @@
 }
 
 impl Config {
-    /// Reads the file that `NODE_CONFIG` names; other variables go before what it says.
+    /// Reads the file that `NODE_CONFIG` names. Other variables go before what it says, but for `discovery`: the file
+    /// may be replaced while the program runs, and a variable cannot follow that.
     pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let path = var("NODE_CONFIG").ok_or("NODE_CONFIG: not set")?;
         let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
@@ -227,10 +228,14 @@
             let told = json.get(field).and_then(Value::as_str).map(str::to_string);
             var(variable).or(told).ok_or_else(|| format!("{field}: not set"))
         };
-        let address = |variable: &str, field: &str| {
-            let text = word(variable, field)?;
+        let address = |text: String, field: &str| {
             text.parse::<SocketAddr>().map_err(|_| format!("{field}: '{text}' is not an address with a port"))
         };
+        let discovery = match json.get("discovery") {
+            Some(Value::String(text)) => text.clone(),
+            Some(other) if !other.is_null() => return Err(format!("discovery: '{other}'")),
+            _ => word("NODE_DISCOVERY", "discovery")?,
+        };
         let limit = |name: &str, absent: f64| match json.pointer(&format!("/limits/{name}")) {
             None => Ok(absent),
             Some(v) => v.as_f64().filter(|v| *v > 0.0).ok_or_else(|| format!("limits.{name}: '{v}'")),
@@ -248,8 +253,8 @@
             columns: columns(settings),
             known: known.map_err(|e| format!("known: {e}"))?,
             platform: Some(Platform {
-                listen: address("NODE_LISTEN", "listen")?,
-                discovery: address("NODE_DISCOVERY", "discovery")?,
+                listen: address(word("NODE_LISTEN", "listen")?, "listen")?,
+                discovery: address(discovery, "discovery")?,
             }),
             mqtt: None,
             brokers: None,
--- a/src/core/directory.rs
+++ b/src/core/directory.rs
@@ -2,7 +2,7 @@
 
 use crate::{Condition, DestId, Endpoint, Event, Kind, Listing};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
@@ -60,6 +60,10 @@
 /// Owner of the list.
 pub struct Directory {
     rev: Cell<Option<u64>>,
+    /// The next whole list comes from another place, which may count its versions anew.
+    moved: Cell<bool>,
+    /// Destinations that were ever listed.
+    dests: RefCell<BTreeSet<DestId>>,
     handles: RefCell<HashMap<String, Endpoint>>,
     named: Cell<u32>,
     providers: RefCell<BTreeMap<Endpoint, Rc<Provider>>>,
@@ -74,6 +78,8 @@
     pub fn new(zones: &[String], names: &[String], kinds: &[Kind]) -> Self {
         Directory {
             rev: Cell::default(),
+            moved: Cell::default(),
+            dests: RefCell::default(),
             handles: RefCell::default(),
             named: Cell::default(),
             providers: RefCell::default(),
@@ -89,11 +95,23 @@
         self.rev.get()
     }
 
+    /// The list comes from another place from now on.
+    pub fn moved(&self) {
+        self.moved.set(true);
+    }
+
+    /// Whether a destination has, or had, providers, as far as any list tells. One that lost its last provider may get
+    /// another one; one that nobody ever listed is a mistake.
+    pub fn serves(&self, dest: DestId) -> bool {
+        self.rev.get().is_none() || self.dests.borrow().contains(&dest)
+    }
+
     /// Takes news in and says what the module is to be told, and which providers are wanted no more. Nothing, where
     /// the news is older than what is held: late news undoes nothing.
     pub fn take(&self, news: &News) -> Option<(Event, Vec<Rc<Provider>>)> {
         let old = self.rev.get().is_some_and(|r| news.rev < r || news.rev == r && !news.whole);
-        if old {
+        let anew = news.whole && self.moved.take();
+        if old && !anew {
             log::debug!("directory: rev {} is not newer than {:?}", news.rev, self.rev.get());
             return None;
         }
@@ -105,11 +123,12 @@
             left.extend(providers.iter().filter(|(e, _)| !listed.contains(e)).map(|(_, p)| p.clone()));
             for p in &left {
                 providers.remove(&p.endpoint);
-                log::info!("directory: provider {} ({:?}) is listed no more", p.entry.uid, p.endpoint.addr);
+                log::debug!("directory: provider {} ({:?}) is listed no more", p.entry.uid, p.endpoint.addr);
                 self.handles.borrow_mut().remove(&p.entry.uid);
             }
         }
         let mut lines = Vec::with_capacity(news.entries.len());
+        self.dests.borrow_mut().extend(news.entries.iter().map(|e| e.dest));
         for entry in &news.entries {
             let endpoint = self.handle(&entry.uid);
             let provider = Rc::new(Provider {
@@ -130,7 +149,7 @@
             let was = before.as_ref().map(|p| (p.entry.condition, p.entry.address));
             if was != Some((entry.condition, entry.address)) {
                 let Entry { uid, address, condition, dest, .. } = entry;
-                log::info!(
+                log::debug!(
                     "directory: provider {uid} ({:?}) at {address}, dest {dest}: {condition:?}",
                     endpoint.addr
                 );
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,6 +20,7 @@
 use raildeal::net::mqtt::brokers::Publisher;
 use raildeal::net::mqtt::ingress::Port;
 use raildeal::net::mqtt::sessions::Sessions;
+use raildeal::net::platform::discovery::Discovery;
 use raildeal::net::platform::ingress::Ingress;
 use raildeal::net::platform::notices::Notices;
 use raildeal::net::platform::providers::Poster;
@@ -61,10 +62,7 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let config = match std::env::args_os().nth(1) {
-        Some(file) => Config::from_file(Path::new(&file)),
-        None => Config::from_env(|name| std::env::var(name).ok()),
-    };
+    let config = configuration();
     let executor = Rc::new(LocalExecutor::new());
     let served = config.and_then(|config| async_io::block_on(executor.run(serve(config, executor.clone()))));
     match served {
@@ -76,6 +74,26 @@
     }
 }
 
+/// What this sender is told, as it stands now.
+fn configuration() -> Result<Config, String> {
+    match std::env::args_os().nth(1) {
+        Some(file) => Config::from_file(Path::new(&file)),
+        None => Config::from_env(|name| std::env::var(name).ok()),
+    }
+}
+
+/// Reads the configuration again and moves to the discovery that it names. A file that cannot be used changes nothing.
+fn reload(discovery: &Discovery) {
+    match configuration().map(|c| c.platform.map(|p| p.discovery)) {
+        Ok(Some(address)) => {
+            log::info!("configuration read again: discovery at {address}");
+            discovery.move_to(address);
+        }
+        Ok(None) => log::warn!("configuration read again: platform: not set any more; the old one stays"),
+        Err(e) => log::error!("configuration not read again: {e}; the old one stays"),
+    }
+}
+
 /// Runs a part for as long as the process lives.
 fn keep<F: Future + 'static>(executor: &LocalExecutor<'static>, part: F)
 where
@@ -119,7 +137,7 @@
     // On sockets nobody pushes the list: a discovery service has to be asked for it, whatever the settings say.
     settings.ask_list = config.platform.is_some();
     let mut ending = signals(&[Signal::Term, Signal::Int])?;
-    let mut reload = signals(&[Signal::Hup])?;
+    let mut hangups = signals(&[Signal::Hup])?;
 
     // Each part, with its one owner.
     let wheel = Wheel::new();
@@ -131,7 +149,8 @@
     let (watch, asked) = async_channel::bounded(1);
     let desk = Desk::new(relay, directory.clone(), Rc::new(Wishes { invoker: invoker.clone(), watch }));
     let zones = config.dns.as_ref().map(|d| Zones::open(&d.zone_file)).transpose()?;
-    let notices = config.platform.as_ref().map(|p| Notices::new(p.discovery, wheel.clone()));
+    let discovery = config.platform.as_ref().map(|p| Discovery::new(p.discovery));
+    let notices = discovery.clone().map(|d| Notices::new(d, wheel.clone()));
     let sessions = config.mqtt.as_ref().map(|m| Sessions::new(wheel.clone(), m.keep_answers()));
     let mut fronts: BTreeMap<u8, Rc<dyn Front>> = BTreeMap::new();
     fronts.extend(notices.clone().map(|n| (PLATFORM, n as Rc<dyn Front>)));
@@ -169,8 +188,8 @@
     if let Some(notices) = notices {
         keep(&executor, async move { notices.run().await });
     }
-    if let Some(p) = &config.platform {
-        let watch = Watch { address: p.discovery, desk: desk.clone(), directory, wheel: wheel.clone() };
+    if let Some(discovery) = discovery.clone() {
+        let watch = Watch { discovery, desk: desk.clone(), directory, wheel: wheel.clone() };
         keep(&executor, async move { watch.run(asked).await });
     }
     for record in unfinished {
@@ -193,7 +212,8 @@
     }
     let reloading = desk.clone();
     keep(&executor, async move {
-        while reload.next().await.is_some() {
+        while hangups.next().await.is_some() {
+            discovery.iter().for_each(|d| reload(d));
             zones.iter().for_each(|z| z.reload(&reloading));
         }
     });
--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -1,5 +1,6 @@
 //! Final answers to the platform: sent again until they are heard.
 
+use super::discovery::Discovery;
 use super::http;
 use crate::core::wheel::Wheel;
 use crate::core::{Envelope, Front, Local, Verdict, MAX_BODY};
@@ -27,14 +28,14 @@
 /// The way back to the platform.
 pub struct Notices {
     queue: (Sender<Notice>, Receiver<Notice>),
-    address: SocketAddr,
+    discovery: Rc<Discovery>,
     wheel: Rc<Wheel>,
 }
 
 impl Notices {
     /// Nothing is sent until [`Notices::run`] runs.
-    pub fn new(address: SocketAddr, wheel: Rc<Wheel>) -> Rc<Self> {
-        Rc::new(Notices { queue: async_channel::unbounded(), address, wheel })
+    pub fn new(discovery: Rc<Discovery>, wheel: Rc<Wheel>) -> Rc<Self> {
+        Rc::new(Notices { queue: async_channel::unbounded(), discovery, wheel })
     }
 
     /// Sends what is queued, for ever.
@@ -45,17 +46,22 @@
             batch.extend(std::iter::from_fn(|| self.queue.1.try_recv().ok()).take(MOST - 1));
             let body: String = batch.iter().map(|n| n.line.as_str()).collect();
             loop {
-                match self.wheel.limit(ANSWER, self.post(&mut stream, &body)).await {
-                    Some(Ok(204)) => break,
+                let posted = self.wheel.limit(ANSWER, self.post(&mut stream, &body));
+                match self.discovery.while_there(posted).await {
+                    // Heard at the old address or not: told twice, a notice does no harm.
+                    None => continue,
+                    Some(Some(Ok(204))) => break,
                     // Sent again, it would be as unreadable: whoever waits is let go.
-                    Some(Ok(400)) => break log::error!("notices: not readable to the platform: {body}"),
-                    Some(Ok(status)) => log::warn!("notices: answered {status}"),
-                    Some(Err(e)) => log::warn!("notices: {e}"),
-                    None => log::warn!("notices: no answer"),
+                    Some(Some(Ok(400))) => {
+                        break log::error!("notices: not readable to the platform: {body}")
+                    }
+                    Some(Some(Ok(status))) => log::warn!("notices: answered {status}"),
+                    Some(Some(Err(e))) => log::warn!("notices: {e}"),
+                    Some(None) => log::warn!("notices: no answer"),
                 }
                 stream = None;
-                self.wheel.sleep(rest).await;
-                rest = (rest * 2).min(REST.1);
+                let rested = self.discovery.while_there(self.wheel.sleep(rest)).await;
+                rest = rested.map_or(REST.0, |()| (rest * 2).min(REST.1));
             }
             rest = REST.0;
             for notice in &batch {
@@ -64,18 +70,18 @@
         }
     }
 
-    async fn post(&self, kept: &mut Option<Stream>, body: &str) -> io::Result<u16> {
-        let mut stream = match kept.take().filter(Stream::is_quiet) {
-            Some(stream) => stream,
-            None => Stream::connect(self.address).await?,
+    async fn post(&self, kept: &mut Option<(SocketAddr, Stream)>, body: &str) -> io::Result<u16> {
+        let (address, length) = (self.discovery.address(), body.len());
+        let mut stream = match kept.take().filter(|(at, s)| *at == address && s.is_quiet()) {
+            Some((_, stream)) => stream,
+            None => Stream::connect(address).await?,
         };
-        let (address, length) = (self.address, body.len());
         let request =
             format!("POST /v1/notices HTTP/1.1\r\nHost: {address}\r\nContent-Length: {length}\r\n\r\n{body}");
         stream.send(request.as_bytes()).await?;
         let answer = http::read_response(&mut stream).await?;
         http::read_body(&mut stream, answer.body, MAX_BODY).await?;
-        *kept = Some(stream).filter(|_| answer.keep_alive);
+        *kept = Some((address, stream)).filter(|_| answer.keep_alive);
         Ok(answer.status)
     }
 }
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -1,5 +1,6 @@
 //! Follows the platform's directory. When to ask again after a failure is the module's choice.
 
+use super::discovery::Discovery;
 use super::http::{self, Body, Chunks};
 use super::list;
 use crate::core::desk::Desk;
@@ -8,7 +9,6 @@
 use crate::net::stream::Stream;
 use async_channel::Receiver;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
 /// What a watch needs.
 pub struct Watch {
     /// Where the directory is.
-    pub address: SocketAddr,
+    pub discovery: Rc<Discovery>,
     /// Told of changes.
     pub desk: Rc<Desk>,
     /// Holds the version to go on from.
@@ -32,12 +32,23 @@
 }
 
 impl Watch {
-    /// Watches whenever asked to, until each watch ends.
+    /// Watches whenever asked to, until each watch ends; and at once when the directory has moved.
     pub async fn run(&self, asked: Receiver<()>) {
-        while asked.recv().await.is_ok() {
-            let ended = self.follow().await;
-            log::warn!("watch: {}", ended.map_or_else(|e| e.to_string(), |()| "ended".into()));
-            self.desk.list_failed();
+        loop {
+            if self.discovery.while_there(asked.recv()).await.is_none() {
+                self.directory.moved();
+            }
+            loop {
+                // This watch is what was asked for, however often.
+                while asked.try_recv().is_ok() {}
+                match self.discovery.while_there(self.follow()).await {
+                    Some(ended) => {
+                        log::warn!("watch: {}", ended.map_or_else(|e| e.to_string(), |()| "ended".into()));
+                        break self.desk.list_failed();
+                    }
+                    None => self.directory.moved(),
+                }
+            }
         }
     }
 
@@ -74,8 +85,8 @@
     }
 
     async fn open(&self) -> io::Result<(Stream, Body)> {
-        let mut stream = Stream::connect(self.address).await?;
-        let (address, since) = (self.address, self.directory.rev().unwrap_or(0));
+        let (address, since) = (self.discovery.address(), self.directory.rev().unwrap_or(0));
+        let mut stream = Stream::connect(address).await?;
         let ask = format!("GET /discovery/hosts?follow=1&since={since} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         stream.send(ask.as_bytes()).await?;
         let answer = http::read_response(&mut stream).await?;
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -30,9 +30,14 @@
 
 impl Discovery {
     pub fn start() -> Self {
+        Discovery::start_from(1, Vec::new())
+    }
+
+    /// One that holds another one's list already, at a version of its own.
+    pub fn start_from(rev: u64, targets: Vec<Value>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let state = Arc::new(Mutex::new(State { rev: 1, ..State::default() }));
+        let state = Arc::new(Mutex::new(State { rev, targets, ..State::default() }));
         let (sender, notices) = channel();
         let shared = state.clone();
         thread::spawn(move || {
@@ -67,6 +72,16 @@
         self.state.lock().expect("a state").say(line);
     }
 
+    /// Its version.
+    pub fn rev(&self) -> u64 {
+        self.state.lock().expect("a state").rev
+    }
+
+    /// The list, line by line.
+    pub fn targets(&self) -> Vec<Value> {
+        self.state.lock().expect("a state").targets.clone()
+    }
+
     /// Ends all watches.
     pub fn hang_up(&self) {
         self.state.lock().expect("a state").watchers.clear();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -9,6 +9,7 @@
 mod mqtt_only;
 mod platform_only;
 mod program;
+mod reload;
 mod rig;
 mod scenarios;
 
--- a/tests/sockets/platform_only.rs
+++ b/tests/sockets/platform_only.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
-fn until(what: &str, holds: impl Fn() -> bool) {
+pub fn until(what: &str, holds: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !holds() {
         assert!(Instant::now() < end, "{what}");
@@ -131,7 +131,7 @@
 }
 
 /// What the platform tells a sender.
-fn config(folder: &TempDir, known: Value) -> Value {
+pub fn config(folder: &TempDir, known: Value) -> Value {
     let class = json!({"name": "event", "promise": 3_000_000_000u64, "deadline": 16_000_000_000u64,
         "effect": "token", "dedupScope": "zone", "window": 10_000_000_000u64, "points": 1.0, "lateWorth": 0.5});
     json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
@@ -142,7 +142,7 @@
             "limits": {"openCap": 50, "maxAttempts": 12, "idleClose": 15_000_000_000u64}}})
 }
 
-fn platform_command(folder: &TempDir, config: &Value) -> Command {
+pub fn platform_command(folder: &TempDir, config: &Value) -> Command {
     let file = folder.path().join("config.json");
     std::fs::write(&file, config.to_string()).expect("a file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_raildeal"));
--- /dev/null
+++ b/tests/sockets/reload.rs
@@ -0,0 +1,111 @@
+//! SIGHUP: the configuration is read again, and the program moves to the discovery that it names.
+
+use crate::discovery::Discovery;
+use crate::http::{request, Http};
+use crate::platform_only::{config, platform_command, until};
+use crate::program::Program;
+use crate::rig::{message, Answer, End, Message, Rig};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+/// Less than any time-out of the old address could take.
+const AT_ONCE: Duration = Duration::from_millis(400);
+
+#[test]
+fn watch_and_notices_move_at_once_and_nothing_held_is_harmed() {
+    let mut rig = Rig::<Http>::start(&[("p", "a")]);
+    rig.take_on(&message("held"));
+    let out = rig.call();
+    for round in 0..3 {
+        // The old address neither answers nor closes: nothing there may be waited for.
+        rig.discovery.freeze(true);
+        rig.discovery.be_deaf(usize::MAX);
+        let next = Discovery::start_from(rig.discovery.rev() + 1, rig.discovery.targets());
+        let (since, _old) = (Instant::now(), rig.move_discovery(next));
+        until("a watch at the new address", || rig.discovery.asked().len() == 1);
+        assert!(since.elapsed() < AT_ONCE, "{:?}", since.elapsed());
+        let uid = format!("q{round}");
+        rig.add_provider(&uid, "b");
+        rig.program.says(&format!("provider {uid} "));
+        let id = format!("m{round}");
+        rig.take_on(&Message { left: Duration::from_secs(2), ..message(&id) });
+        let call = rig.call();
+        call.answer(Answer::Full(Some(5000)));
+        rig.drain(&call.provider);
+    }
+    assert!((0..3).all(|i| rig.end(&format!("m{i}")) != End::Delivered));
+    out.answer(Answer::Delivered);
+    rig.program.says("held: p Ok");
+    rig.finish(&["held"]);
+}
+
+#[test]
+fn a_notice_that_is_on_its_way_goes_to_the_new_address() {
+    let mut rig = Rig::<Http>::start(&[("p", "a")]);
+    rig.discovery.be_deaf(usize::MAX);
+    rig.take_on(&Message { left: Duration::from_secs(2), ..message("m1") });
+    rig.call().answer(Answer::Full(Some(5000)));
+    rig.program.says("notices: answered 503");
+    let next = Discovery::start_from(rig.discovery.rev() + 1, rig.discovery.targets());
+    let _old = rig.move_discovery(next);
+    assert!(matches!(rig.end("m1"), End::Deferred(_)));
+    rig.finish(&[]);
+}
+
+/// The new directory may count its versions anew.
+#[test]
+fn a_whole_list_of_a_lower_version_counts_after_a_move() {
+    let mut rig = Rig::<Http>::start(&[("p", "a"), ("q", "b")]);
+    let targets = rig.discovery.targets();
+    let kept = targets.into_iter().filter(|t| t["uid"] == "q").collect();
+    let _old = rig.move_discovery(Discovery::start_from(1, kept));
+    rig.program.says("provider p ");
+    for id in ["m1", "m2", "m3"] {
+        rig.take_on(&message(id));
+        let call = rig.call();
+        assert_eq!(call.provider, "q");
+        call.answer(Answer::Delivered);
+    }
+    rig.finish(&["m1", "m2", "m3"]);
+}
+
+#[test]
+fn a_file_that_cannot_be_used_changes_nothing() {
+    let mut rig = Rig::<Http>::start(&[("p", "a")]);
+    let good = std::fs::read_to_string(rig.config_file()).expect("text");
+    let elsewhere = good.replace(&rig.discovery.address.to_string(), "nowhere");
+    for (text, words) in [("name = ", "operator.toml"), (&elsewhere, "platform.discovery")] {
+        std::fs::write(rig.config_file(), text).expect("a file");
+        rig.program.signal("HUP");
+        assert!(rig.program.says("configuration not read again").contains(words));
+    }
+    std::fs::remove_file(rig.config_file()).expect("removed");
+    rig.program.signal("HUP");
+    rig.program.says("configuration not read again");
+    rig.add_provider("q", "b");
+    rig.program.says("provider q ");
+    rig.take_on(&message("m1"));
+    rig.call().answer(Answer::Delivered);
+    rig.program.says("m1: ");
+    rig.finish(&["m1"]);
+}
+
+/// The variable that was set at the start says where discovery was then; the file says where it is.
+#[test]
+fn the_file_s_discovery_counts_whatever_the_variable_says() {
+    let rig = Rig::<Http>::start(&[("p", "a")]);
+    let folder = TempDir::new().expect("a folder");
+    let mut told = config(&folder, rig.discovery.whole());
+    let mut command = platform_command(&folder, &told);
+    let mut program = Program::spawn(command.env("NODE_DISCOVERY", "127.0.0.1:9"));
+    let http = Http { address: program.port("platform") };
+    told["discovery"] = rig.discovery.address.to_string().into();
+    platform_command(&folder, &told);
+    assert_eq!(rig.discovery.asked().len(), 1);
+    program.signal("HUP");
+    until("a watch at the new address", || rig.discovery.asked().len() == 2);
+    assert_eq!(http.ask(&request(&message("m1"))).expect("an answer").0, 202);
+    rig.call().answer(Answer::Delivered);
+    program.says("m1: p Ok");
+    rig.finish(&[]);
+}
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -182,6 +182,20 @@
         self.client = W::client(self.address);
     }
 
+    /// Replaces the configuration by one that names another discovery, and tells the program to read it. Gives the old
+    /// discovery.
+    pub fn move_discovery(&mut self, to: Discovery) -> Discovery {
+        config(&self.folder, &to, &self.settings);
+        let old = std::mem::replace(&mut self.discovery, to);
+        self.program.signal("HUP");
+        old
+    }
+
+    /// The file that the program was started with.
+    pub fn config_file(&self) -> PathBuf {
+        self.folder.path().join("operator.toml")
+    }
+
     /// Lists one more provider.
     pub fn add_provider(&self, uid: &str, zone: &str) {
         self.discovery.list(uid, self.providers.start::<W>(uid), zone, W::KIND, "active");
