Tell spoilt answers from good ones, and keep connections by provider

`http::response` needs the whole head, so a 200 with a spoilt head was a reset and went out again; a head that never ends held its slot to the time-out of 2 to 8 s; any 2xx counted as delivered; two lost calls in a row made a provider sick, though spoilt answers come from all alike.

A first line with 200 is now a delivery, whatever becomes of the rest. Any other answer counts once it is whole, and is else an error that may have run: the provider was there. Once begun, an answer has 300 ms. 1xx are bounded, NaN and inf are no load report. A connection goes back only after an answer read to its exact end, and rests 10 ms before it is used again, so that surplus bytes show up.

Kept connections are found by provider, not by address: one put back late went to the machine that had taken over the address, and closing one's closed the other's. Their number is bounded by what clients and slots leave of the descriptors.

--- a/src/main.rs
+++ b/src/main.rs
@@ -128,12 +128,15 @@
 /// Those who call providers, by the wire that they speak.
 fn providers(config: &Config, wheel: &Rc<Wheel>) -> Rc<ByKind> {
     let deployment = &config.deployment;
+    // What clients and calls that are out leave of the descriptors, for both wires together.
+    let rest = descriptors(config).saturating_sub(clients(config) + deployment.settings.slots as usize);
+    let most = rest / if config.brokers.is_some() { 2 } else { 1 };
     let (connect, idle) = (span(deployment.connect_timeout), span(deployment.settings.idle_close));
-    let posters = Calls::new(Poster { columns: config.columns.clone() }, wheel.clone(), connect, idle);
+    let posters = Calls::new(Poster { columns: config.columns.clone() }, wheel.clone(), connect, idle, most);
     let brokers = config.brokers.as_ref().map(|b| {
         let publisher =
             Publisher::new(b.client_id.clone(), b.topic.clone(), deployment.classes.clone(), idle);
-        (Calls::new(publisher, wheel.clone(), connect, idle), b.kinds.clone())
+        (Calls::new(publisher, wheel.clone(), connect, idle, most), b.kinds.clone())
     });
     Rc::new(ByKind { posters, brokers })
 }
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -5,7 +5,7 @@
 use crate::core::wheel::Wheel;
 use crate::core::{Envelope, Invoker, InvokerCall, Local, Report};
 use crate::net::stream::Stream;
-use crate::Outcome;
+use crate::{Endpoint, Outcome};
 use futures_lite::{Future, FutureExt};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -14,27 +14,41 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// An answer that is known but not wholly read may take this long more; then its connection is given up.
-const REST_OF_ANSWER: Duration = Duration::from_millis(200);
+/// Once an answer has begun, the rest of it may take this long; then its connection is given up.
+const REST_OF_ANSWER: Duration = Duration::from_millis(300);
+/// Most beginnings of an answer that only announce another.
+const MAX_INTERIM: usize = 32;
+/// A connection rests this long before it is used again: bytes that belong to no call show up meanwhile.
+const SETTLE: Duration = Duration::from_millis(10);
 /// What a connection is kept for where the settings name no time.
 const IDLE_DEFAULT: Duration = Duration::from_secs(60);
 
+/// How far an answer was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// It only announces another one.
+    Interim,
+    /// To its end; its connection may be used again.
+    Whole,
+    /// As far as it matters; its connection may not be used again.
+    Last,
+}
+
 /// What a wire says in a call.
 pub trait Dialect {
-    /// What is still to be read of an answer that is known, before its connection can be used again.
-    type Rest;
-
     /// Greets a provider on a new connection. Gives how long the connection may stand idle, if the other side says.
     fn greet(&self, stream: &mut Stream) -> impl Future<Output = io::Result<Option<Duration>>>;
 
     /// The bytes of a call, for one write.
     fn request(&self, provider: &Provider, envelope: &Envelope, left: Duration) -> io::Result<Vec<u8>>;
 
-    /// Reads up to where the outcome is known.
-    fn answer(&self, stream: &mut Stream) -> impl Future<Output = io::Result<(Report, Self::Rest)>>;
-
-    /// Reads the rest. False: the connection is not to be used again.
-    fn rest(&self, stream: &mut Stream, rest: Self::Rest) -> impl Future<Output = io::Result<bool>>;
+    /// Reads an answer that has begun. `known` is set as soon as its meaning cannot change any more, whatever becomes of
+    /// the rest; where it is not set in the end, the answer was spoilt.
+    fn answer(
+        &self,
+        stream: &mut Stream,
+        known: &mut Option<Report>,
+    ) -> impl Future<Output = io::Result<Read>>;
 
     /// What is said on an idle connection before it is closed, if anything.
     fn farewell(&self) -> &'static [u8] {
@@ -58,18 +72,28 @@
 /// Owner of the connections to providers that speak one dialect.
 pub struct Calls<D> {
     dialect: D,
-    idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
+    /// By provider and not by address: another machine may have taken over the address since.
+    idle: RefCell<HashMap<Endpoint, Vec<Link>>>,
+    /// Most of them.
+    most: usize,
     wheel: Rc<Wheel>,
     connect_timeout: Duration,
     idle_most: Duration,
 }
 
 impl<D: Dialect> Calls<D> {
-    /// No connections yet; `idle_close` is when the other side closes an idle one (0: never).
-    pub fn new(dialect: D, wheel: Rc<Wheel>, connect_timeout: Duration, idle_close: Duration) -> Rc<Self> {
+    /// No connections yet; `idle_close` is when the other side closes an idle one (0: never), and so many are kept idle
+    /// at the most.
+    pub fn new(
+        dialect: D,
+        wheel: Rc<Wheel>,
+        connect_timeout: Duration,
+        idle_close: Duration,
+        most: usize,
+    ) -> Rc<Self> {
         // A fifth to spare: a request that crosses the other side's close is lost, and may have run for all we know.
         let idle_most = if idle_close.is_zero() { IDLE_DEFAULT } else { idle_close * 4 / 5 };
-        Rc::new(Calls { dialect, idle: RefCell::default(), wheel, connect_timeout, idle_most })
+        Rc::new(Calls { dialect, idle: RefCell::default(), most, wheel, connect_timeout, idle_most })
     }
 
     /// Closes connections as they get old; runs for ever.
@@ -86,15 +110,29 @@
     }
 
     /// The connection used last of those that still stand.
-    fn kept(&self, address: SocketAddr) -> Option<Link> {
-        let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&address)?;
-        std::iter::from_fn(|| links.pop()).find(|l| l.fresh() && l.stream.is_quiet())
+    async fn kept(&self, provider: Endpoint) -> Option<Link> {
+        loop {
+            let link = self.idle.borrow_mut().get_mut(&provider).and_then(Vec::pop)?;
+            if link.since.elapsed() < SETTLE {
+                self.wheel.until(link.since + SETTLE).await;
+            }
+            if link.fresh() && link.stream.is_quiet() {
+                return Some(link);
+            }
+        }
     }
 
-    fn keep(&self, address: SocketAddr, link: Link) {
-        let link = Link { since: Instant::now(), ..link };
-        self.idle.borrow_mut().entry(address).or_default().push(link);
+    fn keep(&self, provider: Endpoint, link: Link) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.values().map(Vec::len).sum::<usize>() >= self.most {
+            // The one that was used least lately makes room; each provider's stand in that order.
+            let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
+            match oldest {
+                Some(links) => links.remove(0).stream.try_send(self.dialect.farewell()),
+                None => return link.stream.try_send(self.dialect.farewell()),
+            }
+        }
+        idle.entry(provider).or_default().push(Link { since: Instant::now(), ..link });
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<Link> {
@@ -108,7 +146,7 @@
         let InvokerCall { provider, envelope, timeout, go } = call;
         let (address, deadline) = (provider.entry.address, Instant::now() + timeout);
         let left = || deadline.saturating_duration_since(Instant::now());
-        let mut link = match self.kept(address) {
+        let mut link = match self.kept(provider.endpoint).await {
             Some(link) => link,
             None => match self.wheel.limit(self.connect_timeout.min(left()), self.connect(address)).await {
                 Some(Ok(link)) => link,
@@ -122,7 +160,7 @@
         let bytes = match request.inspect_err(|e| log::error!("calls: {} cannot be said: {e}", envelope.id)) {
             Ok(bytes) if go() => bytes,
             _ => {
-                self.keep(address, link);
+                self.keep(provider.endpoint, link);
                 return Outcome::Moot.into();
             }
         };
@@ -130,20 +168,28 @@
             // Broken or stuck before its last byte: it never ran.
             return Outcome::ConnectFailed.into();
         }
-        match self.wheel.limit(left(), self.dialect.answer(&mut link.stream)).await {
-            None => Outcome::Timeout.into(),
-            Some(Err(e)) => {
-                log::debug!("calls: {} after the call was sent: {e}", provider.entry.uid);
-                Outcome::Reset.into()
-            }
-            Some(Ok((report, rest))) => {
-                let rest = self.dialect.rest(&mut link.stream, rest);
-                if let Some(Ok(true)) = self.wheel.limit(REST_OF_ANSWER, rest).await {
-                    self.keep(address, link);
+        let mut known = None;
+        for _ in 0..MAX_INTERIM {
+            let begins = async { Ok(!link.stream.buf.is_empty() || link.stream.fill().await?) };
+            match self.wheel.limit(left(), begins).await {
+                None => return Outcome::Timeout.into(),
+                Some(Ok(true)) => {}
+                Some(end @ (Ok(false) | Err::<_, io::Error>(_))) => {
+                    log::debug!("calls: {} ended after the call was sent: {end:?}", provider.entry.uid);
+                    return Outcome::Reset.into();
                 }
-                report
             }
+            let rest = self.dialect.answer(&mut link.stream, &mut known);
+            match self.wheel.limit(REST_OF_ANSWER, rest).await {
+                Some(Ok(Read::Interim)) => continue,
+                Some(Ok(Read::Whole)) if link.stream.buf.is_empty() => self.keep(provider.endpoint, link),
+                Some(Ok(_)) => {}
+                spoilt => log::debug!("calls: {} answered what is no answer: {spoilt:?}", provider.entry.uid),
+            }
+            break;
         }
+        // Answered, if not to be read: the provider is there, and may have run it.
+        known.unwrap_or(Outcome::Error.into())
     }
 }
 
@@ -154,7 +200,7 @@
     }
 
     fn close_idle(&self, provider: &Provider) {
-        let links = self.idle.borrow_mut().remove(&provider.entry.address);
+        let links = self.idle.borrow_mut().remove(&provider.endpoint);
         links.iter().flatten().for_each(|l| l.stream.try_send(self.dialect.farewell()));
     }
 }
--- a/src/net/mqtt/brokers.rs
+++ b/src/net/mqtt/brokers.rs
@@ -3,7 +3,7 @@
 use super::packets::{encode, property, read, user};
 use crate::core::directory::Provider;
 use crate::core::{Envelope, Report};
-use crate::net::calls::Dialect;
+use crate::net::calls::{Dialect, Read};
 use crate::net::stream::Stream;
 use crate::{Outcome, Time};
 use mqtt_proto::v5::{
@@ -49,8 +49,6 @@
 }
 
 impl Dialect for Publisher {
-    type Rest = ();
-
     async fn greet(&self, stream: &mut Stream) -> io::Result<Option<Duration>> {
         self.made.set(self.made.get() + 1);
         let id = format!("{}-{}-{}", self.client_id, std::process::id(), self.made.get());
@@ -88,17 +86,16 @@
         encode(&Packet::Publish(publish))
     }
 
-    async fn answer(&self, stream: &mut Stream) -> io::Result<(Report, ())> {
+    async fn answer(&self, stream: &mut Stream, known: &mut Option<Report>) -> io::Result<Read> {
         match read(stream).await? {
-            Some(Packet::Puback(ack)) if ack.pid.value() == PID => Ok((report(&ack).into(), ())),
+            Some(Packet::Puback(ack)) if ack.pid.value() == PID => {
+                *known = Some(report(&ack).into());
+                Ok(Read::Whole)
+            }
             other => Err(io::Error::other(format!("no PUBACK but {other:?}"))),
         }
     }
 
-    async fn rest(&self, _: &mut Stream, (): ()) -> io::Result<bool> {
-        Ok(true)
-    }
-
     fn farewell(&self) -> &'static [u8] {
         DISCONNECT
     }
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -6,6 +6,8 @@
 
 /// Longest head taken.
 const MAX_HEAD: usize = 16 * 1024;
+/// Most answers that only announce another.
+const MAX_INTERIM: usize = 32;
 /// Longest line of a chunked body that only tells a size.
 const MAX_CHUNK_LINE: usize = 1024;
 
@@ -101,6 +103,13 @@
     pub keep_alive: bool,
 }
 
+impl Response {
+    /// It only announces another one.
+    pub fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+}
+
 /// Reads the head of a request, and how many bytes it took; `None` while it is not whole.
 pub fn request(bytes: &[u8]) -> Result<Option<(Request, usize)>, Bad> {
     let mut lines = [httparse::EMPTY_HEADER; 64];
@@ -120,6 +129,24 @@
     Ok(Some((Request { method, path, headers, length, keep_alive }, len)))
 }
 
+/// The status that the first line of an answer says, whatever may follow it; nothing while that line is not whole, or
+/// where it says none.
+pub fn status(bytes: &[u8]) -> Option<u16> {
+    let line = &bytes[..bytes.iter().position(|b| *b == b'\n')?];
+    match line.strip_prefix(b"HTTP/1.")? {
+        [b'0' | b'1', b' ', code @ ..] => {
+            let (code, rest) = code.split_at_checked(3)?;
+            let ends = rest.first().is_none_or(|b| b" \r".contains(b));
+            std::str::from_utf8(code)
+                .ok()?
+                .parse()
+                .ok()
+                .filter(|_| ends && code.iter().all(u8::is_ascii_digit))
+        }
+        _ => None,
+    }
+}
+
 /// Reads the head of an answer, and how many bytes it took; `None` while it is not whole.
 pub fn response(bytes: &[u8]) -> Result<Option<(Response, usize)>, Bad> {
     let mut lines = [httparse::EMPTY_HEADER; 64];
@@ -219,15 +246,12 @@
     Some(line)
 }
 
-/// Reads the head of an answer off a connection.
-pub async fn read_response(stream: &mut Stream) -> io::Result<Response> {
+/// Reads the head of an answer off a connection, be it one that only announces another.
+pub async fn read_head(stream: &mut Stream) -> io::Result<Response> {
     loop {
         if let Some((response, len)) = response(&stream.buf)? {
             stream.buf.drain(..len);
-            if response.status >= 200 {
-                return Ok(response);
-            }
-            continue; // one that only announces another
+            return Ok(response);
         }
         if !stream.fill().await? {
             return Err(io::ErrorKind::UnexpectedEof.into());
@@ -235,6 +259,17 @@
     }
 }
 
+/// Reads the head of an answer off a connection, past those that only announce it.
+pub async fn read_response(stream: &mut Stream) -> io::Result<Response> {
+    for _ in 0..MAX_INTERIM {
+        let response = read_head(stream).await?;
+        if !response.is_interim() {
+            return Ok(response);
+        }
+    }
+    Err(Bad(400, "answers announced without end").into())
+}
+
 /// Reads the body of an answer off a connection, up to `most` bytes.
 pub async fn read_body(stream: &mut Stream, body: Body, most: usize) -> io::Result<Vec<u8>> {
     let (mut got, mut chunks) = (Vec::new(), Chunks::default());
--- a/src/net/platform/providers.rs
+++ b/src/net/platform/providers.rs
@@ -1,9 +1,9 @@
 //! Calls to providers in the platform's protocol.
 
-use super::http::{self, Response};
+use super::http::{self, Body, Response};
 use crate::core::directory::Provider;
 use crate::core::{Envelope, Report, MAX_BODY};
-use crate::net::calls::Dialect;
+use crate::net::calls::{Dialect, Read};
 use crate::net::stream::Stream;
 use crate::{Outcome, Time};
 use std::collections::HashMap;
@@ -17,8 +17,6 @@
 }
 
 impl Dialect for Poster {
-    type Rest = Response;
-
     async fn greet(&self, _: &mut Stream) -> io::Result<Option<Duration>> {
         Ok(None)
     }
@@ -36,16 +34,37 @@
         Ok([head.as_bytes(), &envelope.body].concat())
     }
 
-    async fn answer(&self, stream: &mut Stream) -> io::Result<(Report, Response)> {
-        let answer = http::read_response(stream).await?;
-        Ok((report(&answer, &self.columns), answer))
-    }
-
-    async fn rest(&self, stream: &mut Stream, answer: Response) -> io::Result<bool> {
-        if answer.keep_alive {
+    async fn answer(&self, stream: &mut Stream, known: &mut Option<Report>) -> io::Result<Read> {
+        let answer = loop {
+            // A first line with 200 is true, whatever becomes of what follows it.
+            if http::status(&stream.buf) == Some(200) {
+                *known = Some(Outcome::Ok.into());
+            }
+            match http::response(&stream.buf)? {
+                Some((answer, len)) => {
+                    stream.buf.drain(..len);
+                    break answer;
+                }
+                None if stream.fill().await? => {}
+                None => return Err(io::ErrorKind::UnexpectedEof.into()),
+            }
+        };
+        if answer.is_interim() {
+            return Ok(Read::Interim);
+        }
+        let meaning = report(&answer, &self.columns);
+        if meaning.outcome == Outcome::Ok || answer.body == Body::ToEnd {
+            *known = Some(meaning);
+            if !answer.keep_alive {
+                return Ok(Read::Last);
+            }
+            http::read_body(stream, answer.body, MAX_BODY).await?;
+        } else {
+            // Any other answer counts once it is whole: one that is cut short is spoilt, and its message may have run.
             http::read_body(stream, answer.body, MAX_BODY).await?;
+            *known = Some(meaning);
         }
-        Ok(answer.keep_alive)
+        Ok(if answer.keep_alive { Read::Whole } else { Read::Last })
     }
 }
 
@@ -54,7 +73,7 @@
     let told = answer.headers.get("x-ratelimit-wait-ms").and_then(|v| v.parse::<f64>().ok());
     let wait = told.filter(|ms| (0.0..=86_400_000.0).contains(ms)).map_or(0, |ms| (ms * 1e6) as Time);
     let (outcome, over) = match answer.status {
-        200..=299 => (Outcome::Ok, true),
+        200 => (Outcome::Ok, true),
         410 => (Outcome::Moot, true),
         504 => (Outcome::Moot, false),
         503 if answer.headers.get("x-over-slots") == Some("1") => (Outcome::Moot, false),
@@ -70,7 +89,7 @@
         .unwrap_or("")
         .split(',')
         .filter_map(|i| i.trim().split_once('='))
-        .filter_map(|(k, v)| Some((k.trim(), v.trim().parse().ok()?)))
+        .filter_map(|(k, v)| Some((k.trim(), v.trim().parse().ok().filter(|v: &f32| v.is_finite())?)))
         .collect();
     columns.iter().map(|c| items.get(c.as_str()).copied()).collect::<Option<_>>().unwrap_or_default()
 }
--- a/tests/sockets/http.rs
+++ b/tests/sockets/http.rs
@@ -114,6 +114,7 @@
             Answer::Full(Some(ms)) => ("429 Too Many Requests", format!("X-RateLimit-Wait-Ms: {ms}\r\n")),
             Answer::Full(None) => ("503 Service Unavailable", String::new()),
             Answer::Error => ("500 Internal Server Error", String::new()),
+            Answer::Raw(bytes) => return bytes.to_vec(),
             Answer::Drop | Answer::Garbage => return b"\x00\xff no status line\r\n\r\n".to_vec(),
         };
         format!("HTTP/1.1 {status}\r\n{more}Content-Length: 2\r\n\r\nok").into_bytes()
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -13,6 +13,7 @@
 mod reload;
 mod rig;
 mod scenarios;
+mod spoilt;
 
 /// Runs the scenarios on one front.
 macro_rules! on_front {
--- a/tests/sockets/mqtt.rs
+++ b/tests/sockets/mqtt.rs
@@ -171,6 +171,7 @@
             Answer::Delivered => (PubackReasonCode::Success, None),
             Answer::Full(wait) => (PubackReasonCode::QuotaExceeded, wait),
             Answer::Error => (PubackReasonCode::UnspecifiedError, None),
+            Answer::Raw(bytes) => return bytes.to_vec(),
             Answer::Drop | Answer::Garbage => return vec![0xff; 64],
         };
         let mut ack = Puback::new(pid, code);
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -50,11 +50,15 @@
     Error,
     Drop,
     Garbage,
+    /// These bytes, and the connection stays open.
+    Raw(&'static [u8]),
 }
 
 /// A call as it came in.
 pub struct Call {
     pub provider: String,
+    /// Where its connection comes from.
+    pub connection: SocketAddr,
     pub message: Message,
     pub at: Instant,
     reply: Sender<Answer>,
@@ -375,7 +379,8 @@
             others.push(stream.try_clone()?);
         }
         let ((reply, answers), (shut, shuts)) = (channel(), channel());
-        let call = Call { provider: uid.into(), message, at, reply, shut: shuts };
+        let connection = stream.peer_addr()?;
+        let call = Call { provider: uid.into(), connection, message, at, reply, shut: shuts };
         let _ = calls.send(call);
         let answer = loop {
             match answers.recv_timeout(Duration::from_millis(10)) {
@@ -390,6 +395,7 @@
         out.lock().expect("calls").remove(&id);
         match answer {
             Answer::Drop => return Ok(()),
+            Answer::Raw(bytes) => io::Write::write_all(&mut stream, bytes)?,
             answer => io::Write::write_all(&mut stream, &W::answer(answer))?,
         }
         if let Answer::Garbage = answer {
