--- a/src/policy.rs
+++ b/src/policy.rs
@@ -296,6 +296,8 @@
         if let Some(d) = self.dests.get_mut(&h.dest) {
             d.hosts.remove(&e);
             d.lost = if h.health == Health::Sick { h.base.max(f64::MIN_POSITIVE) } else { d.lost };
+            // A route's gate goes with it: endpoints are replaced for ever, and their names never come back.
+            d.proven = d.gates.remove(&Some(e)).map_or(d.proven, |g| d.proven.max(g.proven));
         }
     }
 
@@ -530,11 +532,11 @@
             }
         }
         self.look_again(dest, 0);
-        self.drop_host(host, false);
         if let Outcome::Full { wait } = outcome {
             let g = self.gate(dest, &host);
             g.told_until = g.told_until.max(now + wait);
         }
+        self.drop_host(host, false);
         let jitter = self.random.draw();
         let Some(h) = self.held.get_mut(&at.0) else { return };
         h.out = false;
@@ -707,7 +709,7 @@
 
     /// Calls a destination may hold: under 3/4 of the slots, half while it ails; few until it answers.
     fn pool(&self, d: &Dispatcher, ailing: bool) -> u32 {
-        let proven = d.gates.values().map(|g| g.proven).max().unwrap_or(0);
+        let proven = d.gates.values().map(|g| g.proven).fold(d.proven, u32::max);
         let most = if ailing { self.s.slots / 2 } else { (3 * self.s.slots - 1) / 4 };
         most.max(1).min(2 + proven)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,8 @@
     pub look_at: Time,
     /// Highest throughput of endpoints that went, until another answers.
     pub lost: f64,
+    /// Most calls that a gate which went had accepted.
+    pub proven: u32,
 }
 
 #[derive(Debug, Default)]
