Choose routes by their fee too, and refuse what another client's id would hide

A message under the id of one that is held was acknowledged whatever it was, and would have been lost silently: it now fails unless class, destination and key are the same. A message is held no longer than its class's deadline. An answer that its client does not take for 1 s ends the connection, which else kept its seat for ever. MQTT filters are at most 1 KiB long.

--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -9,7 +9,7 @@
 use super::{span, unix_ms, Envelope, Front, Invoker, InvokerCall, Local, Report, Verdict};
 use crate::{Effect, Endpoint, Message, Outcome, Past, Settings, Time};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -52,8 +52,8 @@
     pub fronts: BTreeMap<u8, Rc<dyn Front>>,
     /// The timers.
     pub wheel: Rc<Wheel>,
-    /// Front and id of what is held.
-    pub names: RefCell<HashSet<(u8, String)>>,
+    /// Front and id of what is held, and what of it has to be the same for it to be the same message.
+    pub names: RefCell<HashMap<(u8, String), u32>>,
 }
 
 /// A held message's name; dropped, it may be handed in again.
@@ -66,11 +66,22 @@
     /// Nothing, where a message of this name is held already.
     fn new(house: &Rc<House>, envelope: &Envelope) -> Option<Self> {
         let name = (envelope.front, envelope.id.clone());
-        let fresh = house.names.borrow_mut().insert(name.clone());
-        fresh.then(|| Named { house: house.clone(), name })
+        if house.names.borrow().contains_key(&name) {
+            return None;
+        }
+        house.names.borrow_mut().insert(name.clone(), print(envelope));
+        Some(Named { house: house.clone(), name })
     }
 }
 
+/// Tells messages of one name apart.
+fn print(envelope: &Envelope) -> u32 {
+    let mut print = crc32fast::Hasher::new();
+    print.update(&[envelope.class.to_be_bytes(), envelope.dest.to_be_bytes()].concat());
+    print.update(envelope.key.as_deref().unwrap_or("").as_bytes());
+    print.finalize()
+}
+
 impl Drop for Named {
     fn drop(&mut self) {
         self.house.names.borrow_mut().remove(&self.name);
@@ -80,7 +91,14 @@
 /// Serves a message that was just handed in.
 pub async fn serve(house: Rc<House>, mut envelope: Envelope, left: Duration, reply: Box<dyn Reply>) {
     let started = Instant::now();
+    // No message is held for longer than its class may be, whatever its client says.
+    let left = house.deadline(&envelope).map_or(left, |most| left.min(most));
     let Some(_named) = Named::new(&house, &envelope) else {
+        let name = (envelope.front, envelope.id.clone());
+        if house.names.borrow().get(&name) != Some(&print(&envelope)) {
+            log::debug!("{}: not taken on under the id of another message", envelope.id);
+            return reply.failed().await;
+        }
         // Its client has not heard that it was taken on: it is, and still once.
         log::debug!("{}: handed in once more while held", envelope.id);
         return reply.taken_on().await.unwrap_or_default();
@@ -270,6 +288,10 @@
         self.classes.get(usize::from(envelope.class)).map_or("", String::as_str)
     }
 
+    fn deadline(&self, envelope: &Envelope) -> Option<Duration> {
+        self.settings.classes.get(usize::from(envelope.class)).map(|c| span(c.deadline))
+    }
+
     /// A wait, as far as clients heed one.
     fn patience(&self, wait: Duration) -> Duration {
         wait.min(span(self.settings.max_retry_after))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -156,6 +156,8 @@
     pub idle_close: Time,
     /// What [`Listing::rate`] is worth.
     pub listed: ListedRates,
+    /// What a message costs that a route in a zone takes on, by zone and in worth; may be empty.
+    pub zone_fees: Vec<f64>,
     /// Position in a load report of the share of the limit left, if reported.
     pub report_left: Option<usize>,
     /// Position in a load report of the limit in calls a second, if reported.
--- a/src/net/mqtt/ingress.rs
+++ b/src/net/mqtt/ingress.rs
@@ -166,9 +166,8 @@
         if publish.payload.len() > MAX_BODY {
             return Err((PubackReasonCode::QuotaExceeded, "payload over 64 KiB"));
         }
-        let most = span(rules.deadline);
-        let left =
-            properties.message_expiry_interval.map_or(most, |s| Duration::from_secs(u64::from(s)).min(most));
+        let wanted = properties.message_expiry_interval.map(|s| Duration::from_secs(u64::from(s)));
+        let left = wanted.unwrap_or(span(rules.deadline));
         let reply_to = properties.response_topic.as_ref().map(|topic| ReplyTo {
             topic: topic.to_string(),
             correlation: properties.correlation_data.as_ref().map(|c| c.to_vec()),
--- a/src/net/mqtt/sessions.rs
+++ b/src/net/mqtt/sessions.rs
@@ -23,8 +23,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Filters that one client may hold.
-const MAX_FILTERS: usize = 64;
+/// Filters that one client may hold, and how long each may be.
+const MAX_FILTERS: (usize, usize) = (64, 1024);
 
 /// Where a final answer goes; kept with the message in the journal.
 #[derive(Serialize, Deserialize)]
@@ -74,7 +74,7 @@
                 return SubscribeReasonCode::SharedSubscriptionNotSupported;
             }
             filters.retain(|(f, _)| f.as_str() != &**filter);
-            if filters.len() >= MAX_FILTERS {
+            if filters.len() >= MAX_FILTERS.0 || filter.len() > MAX_FILTERS.1 {
                 return SubscribeReasonCode::QuotaExceeded;
             }
             let qos = options.max_qos.min(QoS::Level1);
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -2,6 +2,7 @@
 
 use super::http::{self, Bad, Request};
 use crate::core::invocation::{self, House, Reply};
+use crate::core::wheel::Wheel;
 use crate::core::{is_word, Envelope, Local};
 use crate::net::seats::{Seat, Serve};
 use crate::net::stream::Stream;
@@ -20,6 +21,8 @@
 const IDLE: Duration = Duration::from_secs(2);
 /// A request must be whole this long after its connection came, or after the answer before it.
 const SLOW_REQUEST: Duration = Duration::from_millis(2500);
+/// A client that does not take its answer in this time is cut off.
+const STUCK: Duration = Duration::from_secs(1);
 /// How long a client that broke the protocol may go on sending before its connection is closed.
 const PARTING: Duration = Duration::from_secs(2);
 /// The port for clients.
@@ -162,7 +165,7 @@
                 }
             };
             let (sender, back) = async_channel::bounded(1);
-            let answer = Answer { stream, keep, back: sender };
+            let answer = Answer { stream, keep, back: sender, wheel: self.house.wheel.clone() };
             match message {
                 Some((envelope, left)) => {
                     let work = invocation::serve(self.house.clone(), envelope, left, Box::new(answer));
@@ -202,11 +205,14 @@
     stream: Stream,
     keep: bool,
     back: Sender<Stream>,
+    wheel: Rc<Wheel>,
 }
 
 impl Answer {
     async fn give(mut self, status: u16, headers: &str) -> io::Result<()> {
-        self.stream.send(head(status, headers, self.keep).as_bytes()).await?;
+        let head = head(status, headers, self.keep);
+        let sent = self.wheel.limit(STUCK, self.stream.send(head.as_bytes())).await;
+        sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
         if self.keep {
             let _ = self.back.send(self.stream).await;
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,6 +67,8 @@
 const LORE_GAIN: f64 = 0.1;
 /// Weight of each further message in a call, as a part of a call: work and time grow with them.
 const BATCH_WEIGHT: f64 = 0.25;
+/// Seconds that the cost of a call grows by for each whole worth of a route's fee.
+const FEE: f64 = 20.0;
 /// Added to the cost of a trial, in seconds: one that serves goes first.
 const TRIAL_LAST: f64 = 100.0;
 const LOG_LINES: u32 = 150;
@@ -725,6 +727,12 @@
             || self.calls.values().any(|c| d.hosts.contains(&c.host) && late(c))
     }
 
+    /// What a route takes off the worth of each message; where endpoints share one limit, nothing.
+    fn fee(&self, h: &Host) -> f64 {
+        let apart = self.s.kinds.get(h.kind).is_some_and(|k| k.apart);
+        self.s.zone_fees.get(usize::from(h.zone)).copied().filter(|_| apart).unwrap_or(0.0)
+    }
+
     /// Best endpoint for a message now, and whether the send is a trial; else when time alone may open one.
     fn choose(
         &mut self,
@@ -769,7 +777,7 @@
             let last = if trial { TRIAL_LAST } else { 0.0 };
             let doubt = (1.0 + 3.0 * h.fails) * (1.0 + refusals);
             let latency = if h.base > 0.0 { h.latency } else { usual } * mix(known, 1.0, h.taste) * doubt;
-            let cost = last + (f64::from(h.calls) + 1.0) * latency;
+            let cost = last + (f64::from(h.calls) + 1.0) * latency + FEE * self.fee(h);
             if best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, e, trial));
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -135,7 +135,11 @@
         .collect::<Result<_, String>>()?;
     let class_names =
         env.items("categories", |p| Ok(env.word(&format!("{p}.name")).unwrap_or("").to_string()))?;
+    let fees = env.list("familyInfo.carriage").into_iter().map(str::parse);
+    let zone_fees =
+        fees.collect::<Result<_, _>>().map_err(|e| format!("setting familyInfo.carriage: {e}"))?;
     let settings = Settings {
+        zone_fees,
         classes,
         tenants,
         kinds,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -51,6 +51,7 @@
         order_settle: 300 * MS,
         idle_close: 10 * SEC,
         listed: ListedRates::Silent,
+        zone_fees: Vec::new(),
         report_left: None,
         report_limit: None,
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -826,6 +826,28 @@
     assert!(text.lines().all(|l| l.chars().count() <= 110));
 }
 
+// ---- fees ----------------------------------------------------------------------------------------------------------
+
+#[test]
+fn the_route_that_costs_less_goes_first_while_it_has_room() {
+    // Found on the price lines of real days: routes were taken alike, whatever their zones' fees.
+    let s = Settings { zone_fees: vec![0.06, 0.0], ..settings() };
+    let routes =
+        |kind| (1..=2).map(move |n| Listing { zone: u16::from(n) - 1, ..line(n, 1, kind, Condition::Ready) });
+    let mut d = Driver::new(s.clone(), routes(2).collect());
+    d.warm_up(1);
+    assert_eq!(targets(&d.arrive(1, 0, 1)), [at(2)]);
+    assert_eq!(targets(&d.arrive(2, 0, 1)), [at(2)]);
+    // Told to wait there, the other one serves.
+    d.end(1, Outcome::Full { wait: 2 * SEC });
+    assert_eq!(targets(&d.arrive(3, 0, 1)), [at(1)]);
+    // Endpoints that share one limit have no fee: the idle one is taken.
+    let mut d = Driver::new(s, routes(0).collect());
+    d.warm_up(1);
+    let both = [targets(&d.arrive(1, 0, 1)), targets(&d.arrive(2, 0, 1))].concat();
+    assert!(both.contains(&at(1)) && both.contains(&at(2)));
+}
+
 // ---- the long day -----------------------------------------------------------------------------------------------
 
 #[test]
--- a/tests/sockets/bad_clients.rs
+++ b/tests/sockets/bad_clients.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{answer, request, Http};
 use crate::mqtt::{connect, publish, read, send, Mqtt};
-use crate::rig::{message, Answer, End, Message, Rig, Wire};
+use crate::rig::{message, Answer, End, Heard, Message, Rig, Wire};
 use mqtt_proto::v5::{Packet, PubackReasonCode, Publish};
 use mqtt_proto::TopicName;
 use std::io::{Read, Write};
@@ -95,6 +95,31 @@
     rig.finish(&[]);
 }
 
+/// Its client would take another message's end for its own.
+#[test]
+fn another_message_under_a_held_id_is_not_taken_on() {
+    let mut rig = Rig::<Http>::start(&[("p", "a")]);
+    rig.take_on(&message("m1"));
+    let call = rig.call();
+    let other = Message { key: "another".into(), ..message("m1") };
+    assert_eq!(rig.hand_in(&other), Heard::Failed);
+    assert_eq!(rig.hand_in(&message("m1")), Heard::TakenOn);
+    call.answer(Answer::Delivered);
+    rig.quiet(Duration::from_millis(200));
+    rig.finish(&["m1"]);
+}
+
+/// Held for as long as its client says, it could keep a seat and a line in the journal for a day.
+#[test]
+fn no_message_is_held_for_longer_than_its_class_allows() {
+    let mut rig = Rig::<Http>::start(&[("p", "a")]);
+    rig.take_on(&Message { left: Duration::from_secs(80_000), ..message("m1") });
+    let call = rig.call();
+    call.answer(Answer::Full(Some(20_000)));
+    assert!(matches!(rig.end("m1"), End::Deferred(_)));
+    rig.finish(&[]);
+}
+
 #[test]
 fn a_destination_that_nobody_listed_is_rejected() {
     let rig = Rig::<Mqtt>::start(&[("p", "a")]);
