--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -66,7 +66,11 @@
     #[test]
     fn a_cut_answer_waits_for_its_rest(status in 200u16..600, wait in any::<u32>(), cut in any::<prop::sample::Index>()) {
         let text = format!("HTTP/1.1 {status} Words\r\nX-RateLimit-Wait-Ms: {wait}\r\nContent-Length: 0\r\n\r\n");
-        prop_assert_eq!(http::response(&text.as_bytes()[..cut.index(text.len())]), Ok(None));
+        let part = &text.as_bytes()[..cut.index(text.len())];
+        prop_assert_eq!(http::response(part), Ok(None));
+        // The first line tells the status once it is whole, whatever comes behind it.
+        prop_assert_eq!(http::status(part), part.contains(&b'\n').then_some(status));
+        prop_assert_eq!(http::status(&[b"HTTP/1.1 200 OK\r\n", part].concat()), Some(200));
         let (answer, len) = http::response(text.as_bytes()).expect("valid").expect("whole");
         prop_assert_eq!((answer.status, len), (status, text.len()));
     }
@@ -107,6 +111,7 @@
     fn garbage_harms_no_parser(bytes in garbage(), head in any::<[u8; 5]>()) {
         let _ = http::request(&bytes);
         let _ = http::response(&bytes);
+        let _ = http::status(&bytes);
         let _ = http::Chunks::default().take(&mut bytes.clone(), &mut Vec::new());
         let _ = list::read(&bytes);
         let text = String::from_utf8_lossy(&bytes);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod dns_only;
 mod hook_only;
 mod http;
+mod long_day;
 mod mqtt;
 mod mqtt_only;
 mod platform_only;
--- a/tests/sockets/platform_only.rs
+++ b/tests/sockets/platform_only.rs
@@ -75,12 +75,7 @@
     rig.drain("p");
     rig.discovery.say(&format!("{old}\n"));
     rig.program.says("is not newer");
-    for id in ["m1", "m2", "m3"] {
-        rig.take_on(&message(id));
-        let call = rig.call();
-        assert_eq!(call.provider, "q");
-        call.answer(Answer::Delivered);
-    }
+    rig.serves(&["m1", "m2", "m3"], "q");
     rig.finish(&["m1", "m2", "m3"]);
 }
 
--- a/tests/sockets/program.rs
+++ b/tests/sockets/program.rs
@@ -54,6 +54,19 @@
         assert!(status.expect("a shell").success());
     }
 
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
+    }
+
+    /// Memory that it holds, in KiB.
+    pub fn memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("a process");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("its memory");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -60,12 +60,7 @@
     let kept = targets.into_iter().filter(|t| t["uid"] == "q").collect();
     let _old = rig.move_discovery(Discovery::start_from(1, kept));
     rig.program.says("provider p ");
-    for id in ["m1", "m2", "m3"] {
-        rig.take_on(&message(id));
-        let call = rig.call();
-        assert_eq!(call.provider, "q");
-        call.answer(Answer::Delivered);
-    }
+    rig.serves(&["m1", "m2", "m3"], "q");
     rig.finish(&["m1", "m2", "m3"]);
 }
 
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -239,6 +239,16 @@
         self.providers.call()
     }
 
+    /// Hands messages in, one after another, and has each delivered by this provider and no other.
+    pub fn serves(&mut self, ids: &[&str], provider: &str) {
+        for id in ids {
+            self.take_on(&message(id));
+            let call = self.call();
+            assert_eq!(call.provider, provider);
+            call.answer(Answer::Delivered);
+        }
+    }
+
     /// Nothing is called within a time.
     pub fn quiet(&self, time: Duration) {
         match self.providers.calls.recv_timeout(time) {
