--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -204,7 +204,7 @@
 pub type Time = Box<dyn Fn() -> Duration>;
 
 /// Replays a store into accounts.
-struct Replayed {
+pub(super) struct Replayed {
     accounts: Accounts,
     bodies: u64,
     /// What was open where lines may be lost.
@@ -212,6 +212,39 @@
     doubted: usize,
 }
 
+impl Replayed {
+    /// Nothing yet; so many bytes of bodies may be in memory.
+    pub(super) fn new(bodies: u64) -> Self {
+        Replayed { accounts: Accounts::default(), bodies, doubts: Vec::new(), doubted: 0 }
+    }
+
+    /// Takes accounts of the first form in, and gives their numbers.
+    pub(super) fn first_form(&mut self, open: BTreeMap<u64, Account>) -> Vec<u64> {
+        let numbers = open.keys().copied().collect();
+        for (no, account) in open {
+            let size = counted(&encode(&account));
+            // There is no reading a body from that form later.
+            self.accounts.insert(no, account, size, u64::MAX);
+        }
+        numbers
+    }
+
+    /// What is open.
+    pub(super) fn open(&self) -> impl Iterator<Item = (u64, &Account)> {
+        self.accounts.open.iter().map(|(no, entry)| (*no, &entry.account))
+    }
+
+    /// A message that turned out to be over.
+    pub(super) fn forget(&mut self, no: u64) {
+        self.accounts.remove(no);
+    }
+
+    /// Messages of which lines may be lost.
+    pub(super) fn doubted(&self) -> usize {
+        self.doubted
+    }
+}
+
 impl Replay for Replayed {
     fn put(&mut self, no: u64, data: &[u8]) -> Result<(), String> {
         let account: Account = decode(data)?;
@@ -308,8 +341,7 @@
         locks: Vec<File>,
         time: Time,
     ) -> io::Result<(Rc<Self>, Vec<Record>)> {
-        let (accounts, doubts) = (Accounts::default(), Vec::new());
-        let mut replayed = Replayed { accounts, bodies: setup.bodies, doubts, doubted: 0 };
+        let mut replayed = Replayed::new(setup.bodies);
         let legacy = old.map(|bytes| upgrade(&bytes, &mut replayed)).transpose()?;
         let options =
             Options { limit: setup.limit, seed: setup.seed, synced: setup.durability == Durability::Machine };
@@ -682,12 +714,7 @@
     if good < bytes.len() {
         log::warn!("journal: {} bytes at its end are not whole and are left out", bytes.len() - good);
     }
-    let items = open.keys().copied().collect();
-    for (no, account) in open {
-        let size = counted(&encode(&account));
-        // There is no reading a body from that form later.
-        into.accounts.insert(no, account, size, u64::MAX);
-    }
+    let items = into.first_form(open);
     Ok(Legacy { name: v1::NAME.into(), size: bytes.len() as u64, items })
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,6 +10,7 @@
 pub mod journal;
 pub mod journal_v1;
 pub mod past;
+pub mod survey;
 pub mod wheel;
 
 use crate::{Outcome, Time};
--- /dev/null
+++ b/src/core/survey.rs
@@ -0,0 +1,174 @@
+//! Looks into a journal's folder without changing it, also while a process serves from it.
+
+use super::journal::{Account, Replayed};
+use super::past::Clock;
+use super::{journal_v1 as v1, unix_ms};
+use crate::store::disk::Folder;
+use crate::store::frame;
+use crate::store::recover::{self, name};
+use rustix::fs::{flock, FlockOperation};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// How often a folder is read again that a process writes to, where something in it could not be read.
+const LOOKS: usize = 5;
+/// Time between that.
+const BETWEEN: Duration = Duration::from_millis(20);
+
+/// A segment that counts.
+#[derive(Debug, Serialize)]
+pub struct SegmentSeen {
+    /// Its file.
+    pub file: String,
+    /// Its place in the sequence.
+    pub seq: u64,
+    /// Bytes of the file.
+    pub size: u64,
+    /// Bytes written.
+    pub used: u64,
+    /// Frames written.
+    pub frames: u64,
+    /// Messages whose last whole line stands here.
+    pub messages: u64,
+    /// Bytes of those lines.
+    pub live: u64,
+}
+
+/// A message that is not over.
+#[derive(Debug, Serialize)]
+pub struct MessageSeen {
+    /// Its number in the store.
+    pub no: u64,
+    /// Its id.
+    pub id: String,
+    /// Class and destination, as numbers.
+    pub class: u16,
+    /// Destination.
+    pub dest: u16,
+    /// Bytes of its body.
+    pub body: usize,
+    /// Calls that went.
+    pub attempts: u16,
+    /// Zone of the first call that may have run.
+    pub may_have_run: Option<String>,
+    /// Its final answer, where it is decided.
+    pub verdict: Option<String>,
+    /// Milliseconds that it has left.
+    pub left_ms: u64,
+}
+
+/// What was found.
+#[derive(Debug, Serialize)]
+pub struct Survey {
+    /// A process serves from it now.
+    pub in_use: bool,
+    /// Segments that count, oldest first.
+    pub segments: Vec<SegmentSeen>,
+    /// Files that are free, and their bytes.
+    pub free: (usize, u64),
+    /// Bytes of a file of the first form, where there is one.
+    pub first_form: Option<u64>,
+    /// Messages that are not over.
+    pub messages: Vec<MessageSeen>,
+    /// Part of the written bytes that no message needs any more.
+    pub garbage: f64,
+    /// What cannot be read.
+    pub damage: Vec<String>,
+    /// Bytes at the end that hold part of a line.
+    pub torn: u64,
+    /// Messages of which more may have happened than was kept.
+    pub doubted: usize,
+    /// Time that reading took, in milliseconds.
+    pub took_ms: u64,
+}
+
+/// Looks into a folder.
+pub fn survey(folder: &Path) -> io::Result<Survey> {
+    let in_use = in_use(folder)?;
+    let mut seen = look(folder, in_use)?;
+    for _ in 0..LOOKS {
+        // What a process was writing, or used again, while it was read is no damage.
+        if !in_use || (seen.damage.is_empty() && seen.torn == 0) {
+            break;
+        }
+        std::thread::sleep(BETWEEN);
+        seen = look(folder, in_use)?;
+    }
+    Ok(seen)
+}
+
+fn in_use(folder: &Path) -> io::Result<bool> {
+    // The lock is gone with the file, at the end of this function.
+    Ok(flock(File::open(folder)?, FlockOperation::NonBlockingLockShared).is_err())
+}
+
+fn look(folder: &Path, in_use: bool) -> io::Result<Survey> {
+    let begun = Instant::now();
+    let mut replayed = Replayed::new(u64::MAX);
+    let old = match fs::read(folder.join(v1::NAME)) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => None,
+        other => Some(other?),
+    };
+    let mut damage = Vec::new();
+    let numbers = match old.as_deref().map(v1::replay) {
+        Some(Some((open, good))) => {
+            let cut = old.as_ref().map_or(0, |bytes| bytes.len() - good);
+            damage.extend((cut > 0).then(|| format!("{}: {cut} bytes at its end are not whole", v1::NAME)));
+            replayed.first_form(open)
+        }
+        Some(None) => {
+            damage.push(format!("{}: not a journal", v1::NAME));
+            Vec::new()
+        }
+        None => Vec::new(),
+    };
+    let scan = recover::scan(&Folder::read_only(folder), u64::from(old.is_none()), &mut replayed)?;
+    if scan.oldest > 0 {
+        numbers.iter().filter(|no| !scan.homes.contains_key(no)).for_each(|no| replayed.forget(*no));
+    }
+    let mut live: BTreeMap<u64, (u64, u64)> = BTreeMap::new();
+    for home in scan.homes.values() {
+        let (messages, bytes) = live.entry(home.seq).or_default();
+        (*messages, *bytes) = (*messages + 1, *bytes + frame::size(home.data));
+    }
+    let segments = scan.found.iter().map(|f| {
+        let (messages, live) = live.get(&f.header.seq).copied().unwrap_or_default();
+        let (file, seq, size) = (name(f.slot), f.header.seq, f.size);
+        SegmentSeen { file, seq, size, used: f.len - frame::BEGIN, frames: f.frames, messages, live }
+    });
+    let segments: Vec<_> = segments.collect();
+    let (used, needed) = segments.iter().fold((0, 0), |(u, l), s| (u + s.used, l + s.live));
+    damage.extend(scan.damage.iter().map(ToString::to_string));
+    let clock = Clock { now_ms: unix_ms(), newest_ms: 0 };
+    Ok(Survey {
+        in_use,
+        segments,
+        free: (scan.free.len(), scan.free.iter().map(|f| f.2).sum()),
+        first_form: old.map(|bytes| bytes.len() as u64),
+        messages: replayed.open().map(|(no, account)| message(no, account, &clock)).collect(),
+        garbage: if used == 0 { 0.0 } else { 1.0 - needed as f64 / used as f64 },
+        damage,
+        torn: scan.torn,
+        doubted: replayed.doubted(),
+        took_ms: begun.elapsed().as_millis() as u64,
+    })
+}
+
+fn message(no: u64, account: &Account, clock: &Clock) -> MessageSeen {
+    let envelope = &account.envelope;
+    MessageSeen {
+        no,
+        id: envelope.id.clone(),
+        class: envelope.class,
+        dest: envelope.dest,
+        body: envelope.size(),
+        attempts: account.attempts,
+        may_have_run: account.may_have_run().map(|s| s.zone.clone()),
+        verdict: account.verdict.map(|v| format!("{v:?}")),
+        left_ms: clock.left(account.taken_ms, account.expires_ms).as_millis() as u64,
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,14 @@
 //! The sender: reads its configuration, wires the parts and serves until it is told to end.
 #![forbid(unsafe_code)]
 
+mod cli;
+
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
+use clap::Parser;
+use cli::Cli;
 use futures_lite::{Future, FutureExt, StreamExt};
 use raildeal::config::{Config, Updates};
 use raildeal::core::desk::{Desk, Hands};
@@ -32,7 +36,7 @@
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher};
 use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,10 +69,16 @@
 }
 
 fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Some(command) = cli.command {
+        return command.run();
+    }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let config = configuration();
+    let source = cli.config;
+    let config = configuration(source.as_deref());
     let executor = Rc::new(LocalExecutor::new());
-    let served = config.and_then(|config| async_io::block_on(executor.run(serve(config, executor.clone()))));
+    let served =
+        config.and_then(|config| async_io::block_on(executor.run(serve(config, source, executor.clone()))));
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -79,16 +89,16 @@
 }
 
 /// What this sender is told, as it stands now.
-fn configuration() -> Result<Config, String> {
-    match std::env::args_os().nth(1) {
-        Some(file) => Config::from_file(Path::new(&file)),
+fn configuration(file: Option<&Path>) -> Result<Config, String> {
+    match file {
+        Some(file) => Config::from_file(file),
         None => Config::from_env(|name| std::env::var(name).ok()),
     }
 }
 
 /// Reads the configuration again and moves to the discovery that it names. A file that cannot be used changes nothing.
-fn reload(discovery: &Discovery) {
-    match configuration().map(|c| c.platform.map(|p| p.discovery)) {
+fn reload(file: Option<&Path>, discovery: &Discovery) {
+    match configuration(file).map(|c| c.platform.map(|p| p.discovery)) {
         Ok(Some(address)) => {
             log::info!("configuration read again: discovery at {address}");
             discovery.move_to(address);
@@ -153,7 +163,11 @@
     text.and_then(|t| Hook::compile(&t)).map_err(|e| format!("hook.script: {}: {e}", path.display()))
 }
 
-async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+async fn serve(
+    config: Config,
+    file: Option<PathBuf>,
+    executor: Rc<LocalExecutor<'static>>,
+) -> Result<(), String> {
     let Config { name, deployment, .. } = &config;
     let mut settings = deployment.settings.clone();
     // On sockets nobody pushes the list: a discovery service has to be asked for it, whatever the settings say.
@@ -238,7 +252,7 @@
     let reloading = desk.clone();
     keep(&executor, async move {
         while hangups.next().await.is_some() {
-            discovery.iter().for_each(|d| reload(d));
+            discovery.iter().for_each(|d| reload(file.as_deref(), d));
             zones.iter().for_each(|z| z.reload(&reloading));
         }
     });
