Kill the program under load and take its room away, on the rig

Tests on sockets for the store: 20 kills at random moments under load with every answer checked afterwards (KILLS=500 for the campaign), a bound on file size in place of a full disk, damage told from a torn end. A write past a bound on file size is an error now and not the end of the process (SIGXFSZ).

--- /dev/null
+++ b/benches/store.rs
@@ -0,0 +1,189 @@
+//! The store at size: `cargo bench --bench store`. Everything is measured in one run, side by side: with cleaning and
+//! without, and against the form before it, which wrote all that is open anew in one step.
+//!
+//! `OPEN=50000 BODY=1200 STEPS=200000 RECOVER_MB=16,64,256,1024` are its defaults.
+
+use hdrhistogram::Histogram;
+use raildeal::core::journal::{Durability, Journal, Record, Setup};
+use raildeal::core::{journal_v1 as v1, Envelope, Verdict};
+use std::collections::VecDeque;
+use std::fs;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const LEFT: Duration = Duration::from_secs(16);
+
+fn told(name: &str, absent: usize) -> usize {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(absent)
+}
+
+fn envelope(n: usize, body: usize) -> Envelope {
+    Envelope {
+        id: format!("{n:016x}"),
+        key: Some(format!("{n:032x}")),
+        dest: 7,
+        body: vec![9; body],
+        ..Envelope::default()
+    }
+}
+
+fn folder() -> TempDir {
+    match std::env::var_os("STORE_DIR") {
+        Some(dir) => TempDir::new_in(dir),
+        None => TempDir::new(),
+    }
+    .expect("a folder")
+}
+
+struct Seen {
+    take_on: Histogram<u64>,
+    tend: Histogram<u64>,
+    all: Histogram<u64>,
+}
+
+impl Seen {
+    fn new() -> Self {
+        let empty = || Histogram::new(3).expect("a histogram");
+        Seen { take_on: empty(), tend: empty(), all: empty() }
+    }
+}
+
+fn time<T>(into: &mut [&mut Histogram<u64>], work: impl FnOnce() -> T) -> T {
+    let begun = Instant::now();
+    let made = work();
+    let took = begun.elapsed().as_nanos() as u64;
+    into.iter_mut().for_each(|h| h.record(took).expect("recorded"));
+    made
+}
+
+fn line(what: &str, h: &Histogram<u64>) {
+    let us = |q: f64| h.value_at_quantile(q) as f64 / 1e3;
+    println!(
+        "{what:<34} p50 {:>8.1}  p99 {:>8.1}  p99.9 {:>8.1}  p99.99 {:>8.1}  longest {:>8.1} us",
+        us(0.5),
+        us(0.99),
+        us(0.999),
+        us(0.9999),
+        h.max() as f64 / 1e3
+    );
+}
+
+/// A steady load with so many messages open: each step takes one on, calls for one, and ends the oldest.
+fn steady(name: &str, setup: Setup, open: usize, body: usize, steps: usize) -> (Seen, f64) {
+    let folder = folder();
+    let (journal, _) = Journal::open(folder.path(), setup).expect("opened");
+    let mut seen = Seen::new();
+    let mut held: VecDeque<Record> = VecDeque::new();
+    let mut n = 0;
+    while held.len() < open {
+        held.push_back(journal.take_on(envelope(n, body), LEFT).expect("room"));
+        n += 1;
+    }
+    let (before, begun) = (journal.done(), Instant::now());
+    for step in 0..steps {
+        let Seen { take_on, tend, all } = &mut seen;
+        let record = time(&mut [take_on, all], || journal.take_on(envelope(n, body), LEFT)).expect("room");
+        n += 1;
+        held.push_back(record);
+        let middle = &held[open / 2];
+        time(&mut [all], || middle.sent("edificio-a")).expect("written");
+        time(&mut [all], || middle.back(true));
+        let first = held.pop_front().expect("held");
+        time(&mut [all], || first.ended(Verdict::Delivered)).expect("written");
+        time(&mut [all], || first.close()).expect("written");
+        if step % 50 == 0 {
+            time(&mut [tend, all], || journal.tend_once());
+        }
+    }
+    let rate = steps as f64 / begun.elapsed().as_secs_f64();
+    let done = journal.done();
+    let (asked, cleaned) = (done.asked - before.asked, done.cleaned - before.cleaned);
+    let amplified = 1.0 + cleaned as f64 / asked as f64;
+    println!(
+        "{name}: {rate:.0} messages a second, {} MB live, {} segments ended, written {amplified:.2} times",
+        journal.view().live / 1_000_000,
+        done.retired - before.retired
+    );
+    (seen, amplified)
+}
+
+/// What the form before did at a compaction: all that is open, encoded and written to a file that takes the old one's
+/// place.
+fn old_compaction(open: usize, body: usize) -> Duration {
+    let folder = folder();
+    let (journal, _) = Journal::open(folder.path(), Setup::new(4_000_000_000)).expect("opened");
+    let held: Vec<Record> =
+        (0..open).map(|n| journal.take_on(envelope(n, body), LEFT).expect("room")).collect();
+    let accounts: Vec<_> = held.iter().enumerate().map(|(n, r)| (n as u64, r.account())).collect();
+    let (new, path) = (folder.path().join("journal.new"), folder.path().join("journal"));
+    let begun = Instant::now();
+    fs::write(&new, v1::file(&accounts)).expect("written");
+    fs::rename(&new, &path).expect("renamed");
+    begun.elapsed()
+}
+
+/// Time to open a store of so many bytes, a tenth of it live.
+fn recovery(mb: usize, setup: Setup) {
+    let folder = folder();
+    let body = 1200;
+    let all = mb * 1_000_000 / (body + 200);
+    let (journal, _) = Journal::open(folder.path(), setup).expect("opened");
+    fill(&journal, all, body);
+    drop(journal);
+    let size = size(folder.path());
+    let begun = Instant::now();
+    let (_journal, records) = Journal::open(folder.path(), setup).expect("opened");
+    let took = begun.elapsed();
+    println!(
+        "recovery: {:>5} MB in files, {:>6} open of {all} messages: {:>7.1} ms ({:.0} MB/s)",
+        size / 1_000_000,
+        records.len(),
+        took.as_secs_f64() * 1e3,
+        size as f64 / 1e6 / took.as_secs_f64()
+    );
+}
+
+fn fill(journal: &Rc<Journal>, all: usize, body: usize) {
+    let mut held = VecDeque::new();
+    for n in 0..all {
+        held.push_back(journal.take_on(envelope(n, body), LEFT).expect("room"));
+        if held.len() > all / 10 {
+            let first: Record = held.pop_front().expect("held");
+            first.close().expect("written");
+        }
+    }
+}
+
+fn size(folder: &Path) -> u64 {
+    fs::read_dir(folder)
+        .expect("a folder")
+        .map(|f| f.expect("a file").metadata().expect("its size").len())
+        .sum()
+}
+
+fn main() {
+    let (open, body, steps) = (told("OPEN", 50_000), told("BODY", 1200), told("STEPS", 200_000));
+    let live = (open * (body + 300)) as u64;
+    println!("{open} messages open with bodies of {body} bytes, {steps} steps");
+    let (without, _) = steady("without cleaning", Setup::new(8_000_000_000), open, body, steps);
+    let (with, _) = steady("with cleaning", Setup::new(live * 2 + 30_000_000), open, body, steps);
+    let away = Setup { bodies: live / 20, ..Setup::new(live * 2 + 30_000_000) };
+    let (away, _) = steady("with cleaning, bodies on disk", away, open, body, steps);
+    line("hand-in, without cleaning", &without.take_on);
+    line("hand-in, with cleaning", &with.take_on);
+    line("hand-in, cleaning, bodies on disk", &away.take_on);
+    line("any write, without cleaning", &without.all);
+    line("any write, with cleaning", &with.all);
+    line("any write, bodies on disk", &away.all);
+    line("idle step, with cleaning", &with.tend);
+    println!(
+        "the form before: one compaction of the same takes {:.1} ms",
+        old_compaction(open, body).as_secs_f64() * 1e3
+    );
+    for mb in std::env::var("RECOVER_MB").unwrap_or("16,64,256,1024".into()).split(',') {
+        let mb: usize = mb.trim().parse().expect("megabytes");
+        recovery(mb, Setup { durability: Durability::Process, ..Setup::new((mb as u64 + 100) * 4_000_000) });
+    }
+}
--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -170,7 +170,7 @@
         return answer(&house, &envelope, record, verdict).await;
     }
     record.back(true);
-    let left = record.left();
+    let left = house.deadline(&envelope).map_or(record.left(), |most| record.left().min(most));
     let ran = record.ran().map(|(zone, age)| (house.ago(&envelope, age), house.directory.zone(&zone)));
     log::debug!(
         "{}: taken up with {left:?} left, {} calls made, ran: {ran:?}",
--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -222,6 +222,7 @@
     pub(super) fn first_form(&mut self, open: BTreeMap<u64, Account>) -> Vec<u64> {
         let numbers = open.keys().copied().collect();
         for (no, account) in open {
+            self.newest(&account);
             let size = counted(&encode(&account));
             // There is no reading a body from that form later.
             self.accounts.insert(no, account, size, u64::MAX);
@@ -229,6 +230,12 @@
         numbers
     }
 
+    fn newest(&mut self, account: &Account) {
+        let sent = account.ran.iter().chain(&account.out).map(|s| s.at_ms);
+        let newest = sent.chain([account.taken_ms, self.accounts.newest_ms]).max();
+        self.accounts.newest_ms = newest.unwrap_or_default();
+    }
+
     /// What is open.
     pub(super) fn open(&self) -> impl Iterator<Item = (u64, &Account)> {
         self.accounts.open.iter().map(|(no, entry)| (*no, &entry.account))
@@ -248,9 +255,7 @@
 impl Replay for Replayed {
     fn put(&mut self, no: u64, data: &[u8]) -> Result<(), String> {
         let account: Account = decode(data)?;
-        let times = [account.taken_ms, account.ran.as_ref().map_or(0, |s| s.at_ms)];
-        let newest = times.into_iter().chain(account.out.iter().map(|s| s.at_ms)).max();
-        self.accounts.newest_ms = self.accounts.newest_ms.max(newest.unwrap_or(0));
+        self.newest(&account);
         self.accounts.remove(no);
         self.accounts.insert(no, account, counted(data), self.bodies);
         Ok(())
--- a/src/main.rs
+++ b/src/main.rs
@@ -174,6 +174,8 @@
     settings.ask_list = config.platform.is_some();
     let mut ending = signals(&[Signal::Term, Signal::Int])?;
     let mut hangups = signals(&[Signal::Hup])?;
+    // Where the size of files is bounded, a write past it is an error like any other and not the end of the process.
+    let _bounds = signals(&[Signal::Xfsz])?;
 
     // Each part, with its one owner.
     let wheel = Wheel::new();
--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -676,7 +676,8 @@
 
 fn why(e: &io::Error) -> Why {
     match e.kind() {
-        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Why::Disk,
+        // The last is what a bound on the size of files gives.
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded | io::ErrorKind::FileTooLarge => Why::Disk,
         _ => Why::Fault,
     }
 }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -15,6 +15,7 @@
 mod rig;
 mod scenarios;
 mod spoilt;
+mod store;
 
 /// Runs the scenarios on one front.
 macro_rules! on_front {
--- a/tests/sockets/program.rs
+++ b/tests/sockets/program.rs
@@ -22,6 +22,17 @@
         Program::spawn(Command::new(env!("CARGO_BIN_EXE_raildeal")).arg(config))
     }
 
+    /// The same, and no file of its may grow beyond so many bytes, a multiple of 512.
+    pub fn start_bounded(config: &Path, bytes: u64) -> Self {
+        let line = format!("ulimit -S -f {}; exec \"$0\" \"$1\"", bytes / 512);
+        let mut shell = Command::new("sh");
+        Program::spawn(shell.arg("-c").arg(line).arg(env!("CARGO_BIN_EXE_raildeal")).arg(config))
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn spawn(command: &mut Command) -> Self {
         let command = command.env("RUST_LOG", "debug").stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
--- /dev/null
+++ b/tests/sockets/store.rs
@@ -0,0 +1,326 @@
+//! The program's store under load, killed at random moments, and without room.
+//!
+//! `KILLS=500 SEED=n cargo test --release --test sockets kills_under_load -- --nocapture` is the long campaign.
+
+use crate::http::{answer, request, Http};
+use crate::program::Program;
+use crate::rig::{message, settings, Answer, Call, End, Heard, Message, Rig};
+use rustix::process::{prlimit, Pid, Resource, Rlimit};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// What a provider saw of a message: which process sent it, where it went, when, and how it was answered.
+struct Seen {
+    life: usize,
+    provider: String,
+    at: Instant,
+    answer: Answer,
+}
+
+/// What the world knows.
+#[derive(Default)]
+struct World {
+    calls: BTreeMap<String, Vec<Seen>>,
+    taken_on: BTreeSet<String>,
+    refused: usize,
+    /// When each notice came, and what it said.
+    notices: BTreeMap<String, Vec<(Instant, String)>>,
+}
+
+/// Hands messages in until it is told to stop, each on a connection of its own.
+fn client(address: SocketAddr, name: &str, seed: u64, stop: &AtomicBool, world: &Mutex<World>) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    for n in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let body = vec![b'x'; rng.usize(200..3000)];
+        let m = Message { body, left: Duration::from_secs(6), ..message(&format!("{name}-{n}")) };
+        let told = TcpStream::connect(address).ok().and_then(|mut s| {
+            s.write_all(&request(&m)).ok()?;
+            Some(answer(&mut s)?.0)
+        });
+        match told {
+            Some(202) => drop(world.lock().expect("world").taken_on.insert(m.id)),
+            Some(503) => {
+                world.lock().expect("world").refused += 1;
+                thread::sleep(5 * MS);
+            }
+            // Not heard, because the process ended: what is done under this id counts for nothing.
+            None => thread::sleep(MS),
+            Some(other) => panic!("answered {other}"),
+        }
+    }
+}
+
+/// Answers calls as they come, some of them late, wrong or not at all.
+fn provide(calls: &Receiver<Call>, seed: u64, life: &Mutex<usize>, stop: &AtomicBool, world: &Mutex<World>) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut late: Vec<(Instant, Call)> = Vec::new();
+    loop {
+        let now = Instant::now();
+        for at in (0..late.len()).rev() {
+            if late[at].0 <= now {
+                late.swap_remove(at).1.answer(Answer::Delivered);
+            }
+        }
+        let call = match calls.recv_timeout(2 * MS) {
+            Ok(call) => call,
+            Err(RecvTimeoutError::Timeout) if !stop.load(Ordering::Relaxed) => continue,
+            Err(_) => return,
+        };
+        let answer = match rng.u32(..100) {
+            0..=3 => Answer::Full(Some(20)),
+            4..=5 => Answer::Error,
+            6 => Answer::Drop,
+            _ => Answer::Delivered,
+        };
+        let seen =
+            Seen { life: *life.lock().expect("life"), provider: call.provider.clone(), at: call.at, answer };
+        world.lock().expect("world").calls.entry(call.message.id.clone()).or_default().push(seen);
+        if matches!(answer, Answer::Delivered) && rng.u32(..4) == 0 {
+            late.push((now + rng.u32(5..40) * MS, call));
+        } else {
+            call.answer(answer);
+        }
+    }
+}
+
+impl World {
+    fn hear(&mut self, notice: &Value) {
+        let text = |field: &str| notice[field].as_str().unwrap_or_default().to_string();
+        self.notices.entry(text("id")).or_default().push((Instant::now(), text("status")));
+    }
+
+    fn is_over(&self, id: &str) -> bool {
+        let delivered = |calls: &Vec<Seen>| calls.iter().any(|c| matches!(c.answer, Answer::Delivered));
+        self.notices.contains_key(id) || self.calls.get(id).is_some_and(delivered)
+    }
+
+    /// Every message that was taken on has its one end, and none was repeated beyond its class.
+    fn check(&self, ends: &[Instant]) {
+        for id in &self.taken_on {
+            assert!(self.is_over(id), "{id} was taken on and has no end");
+        }
+        for (id, told) in &self.notices {
+            assert!(told.iter().all(|(_, s)| *s == told[0].1), "{id} has two ends: {told:?}");
+        }
+        for (id, calls) in &self.calls {
+            let mut ran: Option<&Seen> = None;
+            for (n, call) in calls.iter().enumerate() {
+                let told = self.notices.get(id).map(|t| t[0].0);
+                assert!(told.is_none_or(|told| call.at < told + 100 * MS), "{id} was called after its end");
+                if let Some(first) = ran {
+                    let zones = [&call.provider[..1], &first.provider[..1]];
+                    assert_eq!(zones[0], zones[1], "{id} may have run, and went to another zone");
+                    assert!(call.at - first.at < Duration::from_secs(10), "{id}: repeated after its window");
+                }
+                let before = n.checked_sub(1).map(|n| &calls[n]);
+                let repeated =
+                    before.is_some_and(|b| matches!(b.answer, Answer::Delivered) && b.life == call.life);
+                assert!(!repeated, "{id} was delivered and sent again by the same process");
+                // A call that a kill cut off may have run, whatever its answer was to be.
+                let cut = ends.iter().any(|end| *end >= call.at && *end < call.at + 60 * MS);
+                if ran.is_none() && (cut || !matches!(call.answer, Answer::Full(_))) {
+                    ran = Some(call);
+                }
+                if cut && matches!(call.answer, Answer::Full(_)) && ran.is_some_and(|r| std::ptr::eq(r, call))
+                {
+                    // Its refusal may have been heard after all.
+                    ran = None;
+                }
+            }
+        }
+    }
+}
+
+fn kills(count: usize, seed: u64) {
+    let text = format!("[limits]\ndisk_mb = 0.4\n{}", settings(400));
+    // Their names begin with their zones.
+    let names: Vec<String> = (0..10).map(|n| format!("{}{n}", ["a", "b"][n % 2])).collect();
+    let providers: Vec<_> = names.iter().map(|name| (name.as_str(), &name[..1])).collect();
+    let mut rig = Rig::<Http>::start_by(&providers, text);
+    let calls = rig.providers.take_calls();
+    let (world, life, stop) = (Mutex::new(World::default()), Mutex::new(0), AtomicBool::new(false));
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (mut ends, mut seqs) = (Vec::new(), Vec::new());
+    thread::scope(|scope| {
+        let (life, stop, world) = (&life, &stop, &world);
+        scope.spawn(move || provide(&calls, seed, life, stop, world));
+        for round in 0..count {
+            let (address, gone) = (rig.address, AtomicBool::new(false));
+            thread::scope(|clients| {
+                for c in 0..6 {
+                    let (name, seed) = (format!("m{round}-{c}"), rng.u64(..));
+                    let gone = &gone;
+                    clients.spawn(move || client(address, &name, seed, gone, world));
+                }
+                thread::sleep(rng.u32(30..140) * MS);
+                rig.program.kill();
+                ends.push(Instant::now());
+                gone.store(true, Ordering::Relaxed);
+            });
+            rig.discovery.notices.try_iter().for_each(|n| world.lock().expect("world").hear(&n));
+            seqs.push(newest_segment(&rig));
+            *life.lock().expect("life") += 1;
+            rig.start_again();
+        }
+        let by = Instant::now() + Duration::from_secs(12);
+        loop {
+            rig.discovery.notices.try_iter().for_each(|n| world.lock().expect("world").hear(&n));
+            let over = |w: &World| w.taken_on.iter().all(|id| w.is_over(id));
+            if over(&world.lock().expect("world")) || Instant::now() > by {
+                break;
+            }
+            thread::sleep(20 * MS);
+        }
+        stop.store(true, Ordering::Relaxed);
+    });
+    let world = world.into_inner().expect("world");
+    let calls: usize = world.calls.values().map(Vec::len).sum();
+    let again = world.calls.values().filter(|c| c.iter().any(|s| s.life > c[0].life)).count();
+    eprintln!(
+        "seed {seed}: {count} kills, {} messages taken on, {} refused, {calls} calls, {again} messages called by more \
+         than one process, {} notices, {} segments begun",
+        world.taken_on.len(),
+        world.refused,
+        world.notices.len(),
+        seqs.last().copied().unwrap_or(0)
+    );
+    world.check(&ends);
+    assert!(
+        seqs.last().is_some_and(|s| *s as usize > count),
+        "the store was not cleaned under this load: {seqs:?}"
+    );
+    assert!(world.taken_on.len() > 10 * count, "no load: {}", world.taken_on.len());
+    rig.providers.check();
+}
+
+/// The newest segment of a store that nobody uses, which must be whole.
+fn newest_segment(rig: &Rig<Http>) -> u64 {
+    let mut inspect = Command::new(env!("CARGO_BIN_EXE_raildeal"));
+    inspect.args(["journal", "inspect", "--json"]).arg(rig.state());
+    let told = inspect.output().expect("the program runs");
+    let seen: Value = serde_json::from_slice(&told.stdout).expect("JSON");
+    assert_eq!(seen["damage"], serde_json::json!([]), "{seen}");
+    seen["segments"].as_array().and_then(|s| s.last()).and_then(|s| s["seq"].as_u64()).unwrap_or(0)
+}
+
+fn told(name: &str, absent: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(absent)
+}
+
+#[test]
+fn kills_under_load() {
+    kills(told("KILLS", 20) as usize, told("SEED", 7));
+}
+
+/// Bounds the files that a process may write: as on a full disk, no further segment can be had.
+fn bound(program: &Program, bytes: Option<u64>) {
+    let pid = Pid::from_raw(program.pid() as i32);
+    prlimit(pid, Resource::Fsize, Rlimit { current: bytes, maximum: None }).expect("a bound");
+}
+
+#[test]
+fn without_room_what_is_new_is_refused_what_is_held_ends_and_all_resumes_by_itself() {
+    let mut rig = Rig::<Http>::start_by(&[("p", "a")], settings(400));
+    rig.serves(&["first"], "p");
+    let big = |id: &str| Message { body: vec![7; 60_000], ..message(id) };
+    let mut held = Vec::new();
+    for n in 0..4 {
+        held.push(format!("m{n}"));
+        rig.take_on(&big(&held[n]));
+    }
+    // Less than a segment: none can be added, and the last part of those that are there cannot be written.
+    bound(&rig.program, Some(100_000));
+    let wait = loop {
+        let m = big(&format!("m{}", held.len()));
+        let begun = Instant::now();
+        let heard = rig.hand_in(&m);
+        assert!(begun.elapsed() < 300 * MS, "a refusal is told at once");
+        match heard {
+            Heard::TakenOn => held.push(m.id),
+            Heard::Rejected(wait) => break wait,
+            Heard::Failed => panic!("failed"),
+        }
+        assert!(held.len() < 40, "never full");
+    };
+    assert!(wait > Duration::ZERO, "with a time to come back");
+    for n in 0..50 {
+        assert!(matches!(rig.hand_in(&big(&format!("more{n}"))), Heard::Rejected(_)));
+    }
+    // A start without room succeeds and serves what it owes.
+    rig.program.kill();
+    while rig.providers.calls.try_recv().is_ok() {}
+    rig.start_bounded(100_000);
+    let mut left: BTreeSet<String> = held.iter().cloned().collect();
+    while !left.is_empty() {
+        let call = rig.call();
+        assert!(left.remove(&call.message.id), "{} was delivered already", call.message.id);
+        call.answer(Answer::Delivered);
+    }
+    bound(&rig.program, None);
+    thread::sleep(600 * MS);
+    rig.serves(&["last"], "p");
+    let log = rig.program.log();
+    let lines = log.lines().filter(|l| l.contains("takes nothing on")).count();
+    assert!(lines <= 1, "one line at each change: {log}");
+    let all: Vec<&str> = held.iter().map(String::as_str).chain(["first", "last"]).collect();
+    rig.finish(&all);
+}
+
+#[test]
+fn it_can_be_looked_into_while_it_serves_and_damage_is_told_from_a_torn_end() {
+    let mut rig = Rig::<Http>::start(&[("p", "a"), ("q", "b")]);
+    rig.take_on(&message("m1"));
+    let first = rig.call();
+    rig.take_on(&message("m2"));
+    let second = rig.call();
+    let state = rig.state();
+    let run = |what: &[&str]| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_raildeal"));
+        let told = command.arg("journal").args(what).arg(&state).output().expect("the program runs");
+        (told.status.code(), String::from_utf8(told.stdout).expect("text"))
+    };
+    let (code, text) = run(&["inspect", "--messages"]);
+    assert_eq!(code, Some(0));
+    assert!(text.contains("in use") && text.contains("m1 class 0 dest 7"), "{text}");
+    assert_eq!(run(&["verify"]).0, Some(0));
+    rig.program.kill();
+    let path = std::fs::read_dir(&state)
+        .expect("a folder")
+        .map(|f| f.expect("a file").path())
+        .find(|p| std::fs::read(p).expect("bytes").windows(2).any(|w| w == b"m1"))
+        .expect("a segment");
+    let whole = std::fs::read(&path).expect("bytes");
+    let end = whole.iter().rposition(|b| *b != 0).expect("lines");
+    // A line that was cut off at the end costs nothing that anybody was told.
+    let mut bytes = whole.clone();
+    bytes[end - 2..].fill(0);
+    std::fs::write(&path, &bytes).expect("written");
+    let (code, text) = run(&["verify"]);
+    assert!(code == Some(0) && text.contains("not finished"), "{text}");
+    // A byte in the middle is damage, and the first message may have lost what happened to it.
+    let mut bytes = whole;
+    let at = bytes.windows(2).position(|w| w == b"m2").expect("the second message");
+    bytes[at] ^= 1;
+    std::fs::write(&path, &bytes).expect("written");
+    let (code, text) = run(&["verify"]);
+    assert!(code == Some(1) && text.contains("cannot be read") && text.contains("1 open messages"), "{text}");
+    rig.start_again();
+    let log = rig.program.log();
+    assert!(log.contains("damaged: ") && log.contains("1 messages were open"), "{log}");
+    assert_eq!(rig.end("m1"), End::Undeliverable);
+    drop((first, second));
+    rig.quiet(100 * MS);
+}
