--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -6,7 +6,7 @@
 use super::frame::{self, Header, Tag, BEGIN};
 use super::plan::{Ask, Door, Shape, Turned, View, Why, KEPT};
 use super::recover::{self, Damage, Home, Replay};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -79,7 +79,8 @@
     /// Free once what was written up to a position is synced.
     freed: VecDeque<(u64, Spare)>,
     legacy: Option<(String, u64, BTreeSet<u64>)>,
-    items: HashMap<u64, Item>,
+    /// A tree: a table of this size would stop everything while it is laid out anew.
+    items: BTreeMap<u64, Item>,
     /// How many items there are of each size.
     sizes: BTreeMap<u64, u32>,
     live: u64,
@@ -148,7 +149,7 @@
             spares: Vec::new(),
             freed: VecDeque::new(),
             legacy: None,
-            items: HashMap::new(),
+            items: BTreeMap::new(),
             sizes: BTreeMap::new(),
             live: 0,
             next: scan.next,
--- a/tests/sockets/store.rs
+++ b/tests/sockets/store.rs
@@ -279,6 +279,87 @@
     rig.finish(&all);
 }
 
+#[test]
+fn with_syncs_and_bodies_on_disk_messages_go_whole_and_outlive_a_kill() {
+    let text = format!("[store]\ndurability = \"machine\"\nbodies_mb = 0.0\n{}", settings(100));
+    let mut rig = Rig::<Http>::start_by(&[("p", "a"), ("q", "b")], text);
+    let big = |id: &str| Message { body: id.bytes().cycle().take(50_000).collect(), ..message(id) };
+    rig.take_on(&big("m1"));
+    let call = rig.call();
+    assert_eq!(call.message.body, big("m1").body);
+    call.answer(Answer::Error);
+    let second = rig.call();
+    assert_eq!(second.provider, call.provider);
+    rig.take_on(&big("m2"));
+    let other = rig.call();
+    assert_eq!(other.message.body, big("m2").body);
+    rig.program.kill();
+    rig.start_again();
+    for _ in 0..2 {
+        let again = rig.call();
+        assert_eq!(again.message.body, big(&again.message.id).body);
+        let before = if again.message.id == "m1" { &second } else { &other };
+        assert_eq!(again.provider, before.provider, "it may have run there");
+        again.answer(Answer::Delivered);
+    }
+    rig.finish(&["m1", "m2"]);
+}
+
+/// `HAND_IN=seconds RAILDEAL=program cargo test --release --test sockets hand_in_times -- --nocapture` measures a program,
+/// this one or an earlier one, while it cleans its store; a usual run only sees that it is measured.
+#[test]
+fn hand_in_times() {
+    let text = format!("[limits]\ndisk_mb = 1.5\nsockets = 1024\n{}", settings(400));
+    let names: Vec<String> = (0..20).map(|n| format!("p{n}")).collect();
+    let providers: Vec<_> = names.iter().map(|name| (name.as_str(), "a")).collect();
+    let mut rig = Rig::<Http>::start_by(&providers, text);
+    let (calls, address, stop) = (rig.providers.take_calls(), rig.address, AtomicBool::new(false));
+    let times = Mutex::new(Vec::new());
+    let (stop, shared) = (&stop, &times);
+    thread::scope(|scope| {
+        scope.spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                if let Ok(call) = calls.recv_timeout(5 * MS) {
+                    call.answer(Answer::Delivered);
+                }
+            }
+        });
+        for c in 0..4 {
+            scope.spawn(move || {
+                let (mut stream, mut rng) =
+                    (TcpStream::connect(address).expect("connected"), fastrand::Rng::with_seed(c));
+                for n in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let body = vec![b'x'; rng.usize(500..8000)];
+                    let m = Message { body, ..message(&format!("m{c}-{n}")) };
+                    let begun = Instant::now();
+                    stream.write_all(&request(&m)).expect("written");
+                    let status = answer(&mut stream).expect("an answer").0;
+                    shared.lock().expect("times").push((begun.elapsed(), status));
+                    thread::sleep(3 * MS);
+                }
+            });
+        }
+        thread::sleep(Duration::from_secs(told("HAND_IN", 1)));
+        stop.store(true, Ordering::Relaxed);
+    });
+    let mut times = times.into_inner().expect("times");
+    times.sort();
+    let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize].0.as_secs_f64() * 1e3;
+    let taken = times.iter().filter(|t| t.1 == 202).count();
+    eprintln!(
+        "{} hand-ins, {taken} taken on: p50 {:.2}  p99 {:.2}  p99.9 {:.2}  longest {:.2} ms",
+        times.len(),
+        at(0.5),
+        at(0.99),
+        at(0.999),
+        at(1.0)
+    );
+    assert!(taken > 50, "{taken} of {}", times.len());
+}
+
 #[test]
 fn it_can_be_looked_into_while_it_serves_and_damage_is_told_from_a_torn_end() {
     let mut rig = Rig::<Http>::start(&[("p", "a"), ("q", "b")]);
