--- a/src/store/recover.rs
+++ b/src/store/recover.rs
@@ -213,11 +213,13 @@
     /// Behind the last mark a hole is what a machine that fails may leave of writes that nobody relied upon.
     fn believe(&mut self, replay: &mut dyn Replay) {
         let doubts = std::mem::take(&mut self.doubts);
-        let lost: Vec<bool> = doubts.iter().map(|d| !d.3 || (d.0, d.1) < self.mark).collect();
+        let (mark, oldest) = (self.mark, self.oldest);
+        // A segment that counts no more may be half used again.
+        let lost: Vec<bool> = doubts.iter().map(|d| d.0 >= oldest && (!d.3 || (d.0, d.1) < mark)).collect();
         replay.believe(&lost);
         for (doubt, _) in doubts.iter().zip(&lost).rev().filter(|(_, lost)| !**lost) {
             self.torn += match self.damage.remove(doubt.2) {
-                Damage::Bytes { from, to, .. } => to - from,
+                Damage::Bytes { seq, from, to, .. } if seq >= oldest => to - from,
                 _ => 0,
             };
         }
