Keep only the store's files open that are written or may be needed at once

Each segment held a descriptor: a folder of 4 GB would have held a thousand, out of the clients' and calls' budget. Now the one that is written, three free ones and one that is read are open; recovery opens one file at a time.

--- a/src/core/survey.rs
+++ b/src/core/survey.rs
@@ -147,7 +147,7 @@
     Ok(Survey {
         in_use,
         segments,
-        free: (scan.free.len(), scan.free.iter().map(|f| f.2).sum()),
+        free: (scan.free.len(), scan.free.iter().map(|f| f.1).sum()),
         first_form: old.map(|bytes| bytes.len() as u64),
         messages: replayed.open().map(|(no, account)| message(no, account, &clock)).collect(),
         garbage: if used == 0 { 0.0 } else { 1.0 - needed as f64 / used as f64 },
--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -14,6 +14,11 @@
 /// Segments that one step of cleaning may end: each costs a line.
 const RETIRED: usize = 2;
 
+/// Free files that are kept open, so that a process without descriptors can go on writing.
+const OPEN: usize = KEPT as usize + 1;
+/// Descriptors that the store holds at once: of those, the file that is written, one that is read, and its folder.
+pub const DESCRIPTORS: usize = OPEN + 3;
+
 /// Gives items as they stand, for cleaning.
 pub trait Items {
     /// The data of an item's next `Put`. `old` reads that of the last one.
@@ -33,7 +38,8 @@
 struct Segment {
     seq: u64,
     slot: u32,
-    area: Arc<dyn Area>,
+    /// Open while it is written; others are opened when they are read.
+    area: Option<Arc<dyn Area>>,
     size: u64,
     salt: u64,
     /// Where frames end.
@@ -46,7 +52,8 @@
 
 struct Spare {
     slot: u32,
-    area: Arc<dyn Area>,
+    /// Open for as many as may be needed at once.
+    area: Option<Arc<dyn Area>>,
     size: u64,
 }
 
@@ -139,7 +146,7 @@
     ) -> io::Result<Opened> {
         let first = u64::from(legacy.is_none());
         let mut scan = recover::scan(&*disk, first, replay)?;
-        let taken: u64 = scan.found.iter().map(|f| f.size).chain(scan.free.iter().map(|f| f.2)).sum();
+        let taken: u64 = scan.found.iter().map(|f| f.size).chain(scan.free.iter().map(|f| f.1)).sum();
         let room = disk.free().unwrap_or(0).saturating_add(taken);
         let mut log = Log {
             shape: Shape::of(options.limit, room),
@@ -171,7 +178,7 @@
             log.segments.push_back(Segment {
                 seq: f.header.seq,
                 slot: f.slot,
-                area: f.area,
+                area: None,
                 size: f.size,
                 salt: f.header.salt,
                 len: f.len,
@@ -179,8 +186,11 @@
                 homes: BTreeSet::new(),
             });
         }
-        for (slot, area, size) in scan.free.drain(..) {
-            log.put_back(Spare { slot, area, size });
+        if let Some(newest) = log.segments.back_mut() {
+            newest.area = Some(log.disk.open(&recover::name(newest.slot))?);
+        }
+        for (slot, size) in scan.free.drain(..) {
+            log.put_back(Spare { slot, area: None, size });
         }
         for (no, home) in scan.homes {
             log.settle(no, home, size(replay, no));
@@ -310,7 +320,8 @@
     pub fn place(&self, no: u64) -> Option<Place> {
         let home = self.items.get(&no)?.home;
         let segment = &self.segments[self.index(home.seq)?];
-        Some(Place { area: segment.area.clone(), salt: segment.salt, no, home })
+        let (disk, name) = (self.disk.clone(), recover::name(segment.slot));
+        Some(Place { disk, name, area: segment.area.clone(), salt: segment.salt, no, home })
     }
 
     /// Cleans in an idle moment, adds room ahead of need and gives needless room back.
@@ -406,6 +417,7 @@
     fn put_back(&mut self, spare: Spare) {
         let (slot, size) = (spare.slot, spare.size);
         self.spares.push(spare);
+        self.keep_open();
         if size == self.shape.segment || (size >= self.shape.segment / 2 && self.grow().is_err()) {
             return;
         }
@@ -419,6 +431,19 @@
         }
     }
 
+    /// Has as many free files open as may be needed at once, the last ones, and no more.
+    fn keep_open(&mut self) {
+        let first = self.spares.len().saturating_sub(OPEN);
+        for (at, spare) in self.spares.iter_mut().enumerate() {
+            if at < first {
+                spare.area = None;
+            } else if spare.area.is_none() {
+                // Without a descriptor now, it is tried again when the file is needed.
+                spare.area = self.disk.open(&recover::name(spare.slot)).ok();
+            }
+        }
+    }
+
     /// Adds a segment.
     fn grow(&mut self) -> io::Result<()> {
         if self.bytes() + self.shape.segment + 2048 > self.limit {
@@ -433,17 +458,16 @@
         let slot = (0..).find(|slot| !used.contains(slot)).unwrap_or_default();
         let area = self.disk.create(&recover::name(slot), self.shape.segment)?;
         self.named = true;
-        self.spares.push(Spare { slot, area, size: self.shape.segment });
+        self.spares.push(Spare { slot, area: Some(area), size: self.shape.segment });
+        self.keep_open();
         Ok(())
     }
 
     /// Gives a free segment back to the file system.
     fn shrink(&mut self) -> io::Result<()> {
-        if let Some(spare) = self.spares.pop() {
-            if let Err(e) = self.disk.remove(&recover::name(spare.slot)) {
-                self.spares.push(spare);
-                return Err(e);
-            }
+        if let Some(spare) = self.spares.first() {
+            self.disk.remove(&recover::name(spare.slot))?;
+            self.spares.remove(0);
             self.named = true;
         }
         Ok(())
@@ -490,13 +514,17 @@
             }
             let mut bytes = frame::bytes(segment.salt, tag, no, data);
             bytes.truncate((segment.size - segment.len) as usize);
-            match write_full(&*segment.area, &bytes, segment.len) {
+            let area = match &segment.area {
+                Some(area) => area.clone(),
+                None => self.disk.open(&recover::name(segment.slot))?,
+            };
+            match write_full(&*area, &bytes, segment.len) {
                 Ok(()) => {
                     let at = segment.len;
                     segment.len += len;
                     self.position += len;
                     if self.synced.is_some() {
-                        self.dirty.insert(segment.slot, segment.area.clone());
+                        self.dirty.insert(segment.slot, area.clone());
                     }
                     return Ok((segment.seq, at));
                 }
@@ -533,7 +561,15 @@
         if self.spares.is_empty() {
             let _ = self.grow();
         }
-        let spare = self.spares.pop().ok_or(io::ErrorKind::StorageFull)?;
+        let mut spare = self.spares.pop().ok_or(io::ErrorKind::StorageFull)?;
+        let opened = spare.area.take().map_or_else(|| self.disk.open(&recover::name(spare.slot)), Ok);
+        let area = match opened {
+            Ok(area) => area,
+            Err(e) => {
+                self.spares.push(spare);
+                return Err(e);
+            }
+        };
         let header = Header {
             seq: self.next_seq,
             salt: mix(self.seed ^ mix(self.next_seq)),
@@ -542,7 +578,7 @@
             next: self.next,
             marked: self.synced.is_some(),
         };
-        if let Err(e) = write_full(&*spare.area, &header.bytes(), 0) {
+        if let Err(e) = write_full(&*area, &header.bytes(), 0) {
             self.done.failed += 1;
             // Another file may do better.
             self.spares.insert(0, spare);
@@ -550,12 +586,15 @@
         }
         self.next_seq += 1;
         if self.synced.is_some() {
-            self.dirty.insert(spare.slot, spare.area.clone());
+            self.dirty.insert(spare.slot, area.clone());
         }
+        // What was written before is only read from now on.
+        self.segments.back_mut().into_iter().for_each(|s| s.area = None);
+        self.keep_open();
         self.segments.push_back(Segment {
             seq: header.seq,
             slot: spare.slot,
-            area: spare.area,
+            area: Some(area),
             size: spare.size,
             salt: header.salt,
             len: BEGIN,
@@ -655,7 +694,9 @@
 /// Where an item's data stands; it may be read on another thread.
 #[derive(Clone)]
 pub struct Place {
-    area: Arc<dyn Area>,
+    disk: Arc<dyn Disk>,
+    name: String,
+    area: Option<Arc<dyn Area>>,
     salt: u64,
     no: u64,
     home: Home,
@@ -665,7 +706,8 @@
     /// Reads the data; blocks. Fails if it stands there no more.
     pub fn read(&self) -> io::Result<Vec<u8>> {
         let mut bytes = vec![0; frame::size(self.home.data) as usize];
-        read_full(&*self.area, &mut bytes, self.home.at)?;
+        let area = self.area.clone().map_or_else(|| self.disk.open(&self.name), Ok)?;
+        read_full(&*area, &mut bytes, self.home.at)?;
         match frame::read(self.salt, &bytes) {
             Some(f) if f.no == self.no && f.tag == Tag::Put => Ok(f.data.to_vec()),
             _ => Err(io::Error::new(io::ErrorKind::InvalidData, "the message's own place cannot be read")),
--- a/src/store/recover.rs
+++ b/src/store/recover.rs
@@ -3,12 +3,11 @@
 //! A cut at the end of the newest segment is told apart from damage. A cut costs what nobody was told of; damage is
 //! stepped over, so that it hides nothing behind it, and whoever replays is told that lines may be missing there.
 
-use super::disk::{read_full, Area, Disk};
+use super::disk::{read_full, Disk};
 use super::frame::{self, Began, Header, Tag, BEGIN};
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
-use std::sync::Arc;
 
 /// Takes what is read, in the order in which it was written.
 pub trait Replay {
@@ -84,8 +83,6 @@
 pub struct Found {
     /// Number in its file's name.
     pub slot: u32,
-    /// Its file.
-    pub area: Arc<dyn Area>,
     /// Bytes of the file.
     pub size: u64,
     /// Its header.
@@ -112,8 +109,8 @@
 pub struct Scan {
     /// Segments that count, oldest first.
     pub found: Vec<Found>,
-    /// Files that are free, by number.
-    pub free: Vec<(u32, Arc<dyn Area>, u64)>,
+    /// Files that are free, by number, and their bytes.
+    pub free: Vec<(u32, u64)>,
     /// Where items stand that are not over.
     pub homes: HashMap<u64, Home>,
     /// The oldest segment that counts.
@@ -156,10 +153,10 @@
         read_full(&*area, &mut head, 0)?;
         match Header::read(&head) {
             Began::At(header) => {
-                scan.found.push(Found { slot, area, size, header, len: BEGIN, frames: 0 });
+                scan.found.push(Found { slot, size, header, len: BEGIN, frames: 0 });
             }
-            Began::Never => scan.free.push((slot, area, size)),
-            Began::Unreadable => unreadable.push((slot, area, size)),
+            Began::Never => scan.free.push((slot, size)),
+            Began::Unreadable => unreadable.push((slot, size)),
         }
     }
     scan.found.sort_by_key(|f| f.header.seq);
@@ -171,7 +168,7 @@
     let oldest = scan.oldest;
     let (past, found): (Vec<_>, Vec<_>) = scan.found.drain(..).partition(|f| f.header.seq < oldest);
     scan.found = found;
-    scan.free.extend(past.into_iter().map(|f| (f.slot, f.area, f.size)));
+    scan.free.extend(past.into_iter().map(|f| (f.slot, f.size)));
     let damaged = unreadable.iter().map(|(slot, ..)| Damage::Header { file: name(*slot) });
     scan.damage.extend(damaged);
     scan.free.extend(unreadable);
@@ -186,7 +183,7 @@
         }
         due = seq + 1;
         let next = scan.found.get(at + 1).map(|f| f.header).filter(|h| h.seq == seq + 1);
-        scan.segment(at, next.map(|h| h.before), &mut bytes, replay)?;
+        scan.segment(disk, at, next.map(|h| h.before), &mut bytes, replay)?;
     }
     scan.believe(replay);
     // What still stands before the log's beginning was over before that was moved.
@@ -198,7 +195,7 @@
     }
     let (past, found): (Vec<_>, Vec<_>) = scan.found.drain(..).partition(|f| f.header.seq < oldest);
     scan.found = found;
-    scan.free.extend(past.into_iter().map(|f| (f.slot, f.area, f.size)));
+    scan.free.extend(past.into_iter().map(|f| (f.slot, f.size)));
     Ok(scan)
 }
 
@@ -228,6 +225,7 @@
     /// Reads one segment; `ends` is where its frames end, if that is known.
     fn segment(
         &mut self,
+        disk: &dyn Disk,
         which: usize,
         ends: Option<u64>,
         bytes: &mut Vec<u8>,
@@ -237,7 +235,8 @@
         let found = &self.found[which];
         let (Header { seq, salt, marked, .. }, file) = (found.header, name(found.slot));
         bytes.resize(found.size as usize, 0);
-        let got = read_full(&*found.area, bytes, 0)?;
+        // One file at a time: there may be more of them than descriptors.
+        let got = read_full(&*disk.open(&file)?, bytes, 0)?;
         bytes.truncate(got);
         self.read += got as u64;
         // A file may have been cut short, too.
