--- a/src/config.rs
+++ b/src/config.rs
@@ -2,17 +2,23 @@
 
 use crate::core::directory::{Entry, News};
 use crate::core::journal::{Durability, Setup};
+use crate::door::messages;
+use crate::door::places::Rules;
+use crate::door::rate::Rate;
 use crate::net::platform::list;
+use crate::net::seats::WhenFull;
 use crate::settings::{self, Deployment};
 use crate::{Condition, DestId};
 use data_encoding::BASE64;
 use hickory_proto::dnssec::rdata::tsig::TsigAlgorithm;
 use hickory_proto::dnssec::tsig::TSigner;
-use hickory_proto::rr::Name;
+use hickory_proto::rr::Name as DnsName;
+use ipnet::IpNet;
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -50,6 +56,131 @@
     pub hook: Option<PathBuf>,
     /// The directory as a DNS zone.
     pub dns: Option<Dns>,
+    /// Who may connect.
+    pub door: Door,
+}
+
+/// Who may connect, and how often. What is not set is not bounded.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Door {
+    /// Addresses and prefixes of known clients.
+    pub known: Vec<Name>,
+    /// Client ids and user names of known MQTT clients.
+    pub known_names: Vec<String>,
+    /// Places that only known clients may take.
+    pub reserve: usize,
+    /// Most connections of one address.
+    pub per_address: Option<usize>,
+    /// Most connections of one prefix.
+    pub per_prefix: Option<usize>,
+    /// New connections of one address, a second.
+    pub rate_per_address: Option<f64>,
+    /// New connections of one prefix, a second.
+    pub rate_per_prefix: Option<f64>,
+    /// How many of a second's may come at once.
+    pub burst_s: Option<f64>,
+    /// Bits of a prefix in IPv4 and IPv6.
+    pub prefix_bits: Option<(u8, u8)>,
+    /// Addresses that are remembered, and as many prefixes.
+    pub remembered: Option<usize>,
+    /// What is done with connections that come when all is full.
+    pub when_full: WhenFull,
+    /// Messages that one client may hand in, a second.
+    pub messages_per_client: Option<f64>,
+    /// Part of the room that one client's messages may take.
+    pub client_share: Option<f64>,
+    /// Part of the room up to which a class is taken on.
+    pub class_room: BTreeMap<String, f64>,
+    /// How long the quickest message may stay before less is held, in milliseconds.
+    pub target_ms: Option<u64>,
+}
+
+/// An address or a prefix, as a setting.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(try_from = "String")]
+pub struct Name(pub IpNet);
+
+impl TryFrom<String> for Name {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        let net = text.parse::<IpNet>().ok().or_else(|| text.parse::<IpAddr>().ok().map(IpNet::from));
+        net.map(Name).ok_or_else(|| format!("'{text}' is neither an address nor a prefix like 10.1.0.0/16"))
+    }
+}
+
+impl Door {
+    /// The rules for so many places.
+    pub fn rules(&self, places: usize) -> Rules {
+        let open = Rules::open(places);
+        Rules {
+            reserve: self.reserve.min(places.saturating_sub(1)),
+            per_address: self.per_address,
+            per_prefix: self.per_prefix,
+            address_rate: self.rate_per_address.map(|n| self.rate(n)),
+            prefix_rate: self.rate_per_prefix.map(|n| self.rate(n)),
+            prefix: self.prefix_bits.unwrap_or(open.prefix),
+            known: self.known.iter().map(|n| n.0).collect(),
+            remembered: self.remembered.unwrap_or(open.remembered),
+            ..open
+        }
+    }
+
+    /// The limits for messages, with so much room.
+    pub fn limits(&self, room: usize, classes: &[String]) -> messages::Limits {
+        let part = |class: &String| self.class_room.get(class).copied().unwrap_or(1.0);
+        messages::Limits {
+            room,
+            rate: self.messages_per_client.map(|n| self.rate(n)),
+            share: self.client_share,
+            classes: classes.iter().map(part).collect(),
+            target: self.target_ms.map(Duration::from_millis),
+            remembered: self.remembered.unwrap_or(Rules::open(1).remembered),
+        }
+    }
+
+    fn rate(&self, per_second: f64) -> Rate {
+        Rate { per_second, burst: ((per_second * self.burst_s.unwrap_or(1.0)) as u32).max(1) }
+    }
+
+    fn check(&self, classes: &[String]) -> Result<(), String> {
+        if let Some(class) = self.class_room.keys().find(|c| !classes.contains(c)) {
+            return Err(format!("door.class_room: settings.categories has no '{class}'"));
+        }
+        let parts = self.class_room.values().copied().chain(self.client_share);
+        if let Some(part) = parts.into_iter().find(|p| !(*p > 0.0 && *p <= 1.0)) {
+            return Err(format!("door.client_share, door.class_room: {part} is not over 0 and up to 1"));
+        }
+        if self.target_ms == Some(0) {
+            return Err("door.target_ms: 0 would hold nothing; 1 at least".into());
+        }
+        let least = [
+            ("door.per_address", self.per_address),
+            ("door.per_prefix", self.per_prefix),
+            ("door.remembered", self.remembered),
+        ];
+        if let Some((name, _)) = least.iter().find(|(_, n)| *n == Some(0)) {
+            return Err(format!("{name}: 0 would let nobody in; 1 at least"));
+        }
+        let rates = [
+            ("door.rate_per_address", self.rate_per_address),
+            ("door.rate_per_prefix", self.rate_per_prefix),
+            ("door.burst_s", self.burst_s),
+            ("door.messages_per_client", self.messages_per_client),
+        ];
+        if let Some((name, n)) = rates.iter().find(|(_, n)| n.is_some_and(|n| !(0.01..=1e6).contains(&n))) {
+            return Err(format!("{name}: {} is not from 0.01 to 1e6", n.unwrap_or_default()));
+        }
+        let (four, six) = self.prefix_bits.unwrap_or((24, 64));
+        if four > 32 || six > 128 {
+            return Err(format!("door.prefix_bits: [{four}, {six}] is more than 32 and 128 bits"));
+        }
+        if self.reserve > 0 && self.known.is_empty() && self.known_names.is_empty() {
+            return Err("door.reserve: nobody is known, so nobody could take it; set door.known".into());
+        }
+        Ok(())
+    }
 }
 
 /// The platform's protocol.
@@ -129,7 +260,7 @@
             "hmac-sha512" => TsigAlgorithm::HmacSha512,
             other => return Err(fault("algorithm", &format!("'{other}' is not supported"))),
         };
-        let name = Name::from_ascii(&self.key_name).map_err(|e| fault("key_name", &e))?;
+        let name = DnsName::from_ascii(&self.key_name).map_err(|e| fault("key_name", &e))?;
         let text = std::fs::read_to_string(&self.secret_file);
         let text = text.map_err(|e| fault("secret_file", &format!("{}: {e}", self.secret_file.display())))?;
         let secret = BASE64.decode(text.trim().as_bytes()).map_err(|e| fault("secret_file", &e))?;
@@ -160,6 +291,8 @@
     brokers: Option<Brokers>,
     hook: Option<FileHook>,
     dns: Option<Dns>,
+    #[serde(default)]
+    door: Door,
 }
 
 #[derive(Deserialize)]
@@ -284,6 +417,7 @@
             brokers: None,
             hook: None,
             dns: None,
+            door: Door::default(),
         })
     }
 
@@ -312,6 +446,7 @@
             brokers: file.brokers,
             hook: file.hook.map(|h| h.script),
             dns: file.dns,
+            door: file.door,
             deployment,
         };
         config.check()
@@ -330,6 +465,7 @@
                 "one of them has to be the directory, and no more".into(),
             );
         }
+        self.door.check(&self.deployment.classes)?;
         if self.sockets < 16 {
             return fault("limits.sockets", format!("{} are too few", self.sockets));
         }
--- /dev/null
+++ b/src/core/guests.rs
@@ -0,0 +1,60 @@
+//! Whose messages are held: asked before one is taken on, and told when it is over.
+
+use crate::door::messages::{Kept, Limits, Messages};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Who handed in what an earlier process took on.
+const EARLIER: &str = "an earlier process";
+
+/// Owner of the count.
+pub struct Guests {
+    messages: RefCell<Messages>,
+    start: Instant,
+}
+
+/// One message that is held; dropped, it is over.
+pub struct Guest {
+    guests: Rc<Guests>,
+    client: Rc<str>,
+    since: Instant,
+    delivered: Cell<bool>,
+}
+
+impl Guests {
+    /// Nobody yet.
+    pub fn new(limits: Limits) -> Rc<Self> {
+        Rc::new(Guests { messages: RefCell::new(Messages::new(limits)), start: Instant::now() })
+    }
+
+    /// Whether a client's message of a class may come in. Where not, when to come back.
+    pub fn ask(&self, client: &str, class: u16) -> Result<(), (Kept, Duration)> {
+        self.messages.borrow_mut().ask(self.start.elapsed(), client, usize::from(class))
+    }
+
+    /// A client's message is held.
+    pub fn taken_on(self: &Rc<Self>, client: Rc<str>) -> Guest {
+        self.messages.borrow_mut().taken_on(&client);
+        Guest { guests: self.clone(), client, since: Instant::now(), delivered: Cell::new(false) }
+    }
+
+    /// So is one that an earlier process took on.
+    pub fn earlier(self: &Rc<Self>) -> Guest {
+        self.taken_on(EARLIER.into())
+    }
+}
+
+impl Guest {
+    /// A provider took it.
+    pub fn delivered(&self) {
+        self.delivered.set(true);
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        let (now, stayed) = (self.guests.start.elapsed(), self.since.elapsed());
+        self.guests.messages.borrow_mut().over(now, &self.client, stayed, self.delivered.get());
+    }
+}
--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -3,6 +3,7 @@
 
 use super::desk::{Desk, Order, Ticket};
 use super::directory::Directory;
+use super::guests::{Guest, Guests};
 use super::hook::{Hook, Ruling};
 use super::journal::{Journal, Record, AGAIN};
 use super::wheel::Wheel;
@@ -44,6 +45,8 @@
     pub desk: Rc<Desk>,
     /// The journal.
     pub journal: Rc<Journal>,
+    /// Whose messages are held.
+    pub guests: Rc<Guests>,
     /// The list of providers.
     pub directory: Rc<Directory>,
     /// Makes the calls.
@@ -89,7 +92,13 @@
 }
 
 /// Serves a message that was just handed in.
-pub async fn serve(house: Rc<House>, mut envelope: Envelope, left: Duration, reply: Box<dyn Reply>) {
+pub async fn serve(
+    house: Rc<House>,
+    client: Rc<str>,
+    mut envelope: Envelope,
+    left: Duration,
+    reply: Box<dyn Reply>,
+) {
     let started = Instant::now();
     // No message is held for longer than its class may be, whatever its client says.
     let left = house.deadline(&envelope).map_or(left, |most| left.min(most));
@@ -111,6 +120,10 @@
         log::debug!("{}: rejected, no room", envelope.id);
         return reply.rejected(house.patience(NO_ROOM_WAIT)).await;
     }
+    if let Err((why, wait)) = house.guests.ask(&client, envelope.class) {
+        log::debug!("{}: rejected, {why}", envelope.id);
+        return reply.rejected(house.patience(wait)).await;
+    }
     match house.hook.as_ref().map(|h| h.ingress(&envelope, house.class(&envelope), left)) {
         Some(Ruling::Reject(wait)) => {
             log::debug!("{}: rejected by the hook", envelope.id);
@@ -127,7 +140,7 @@
             return reply.rejected(house.patience(house.journal.come_back())).await;
         }
     };
-    let envelope = record.envelope();
+    let (envelope, guest) = (record.envelope(), house.guests.taken_on(client));
     let mut ticket = house.desk.enter(message(&envelope, left), None);
     let first = ticket.ready();
     match first {
@@ -158,7 +171,7 @@
         let _ = record.close();
         return;
     }
-    deliver(&house, envelope, record, ticket, first, started + left).await;
+    deliver(&house, envelope, record, (ticket, guest), first, started + left).await;
 }
 
 /// Takes up a message that an earlier process took on.
@@ -180,7 +193,8 @@
     let past = Past { attempts: account.attempts, ran };
     let mut ticket = house.desk.enter(message(&envelope, left), Some(past));
     let first = ticket.ready();
-    deliver(&house, envelope, record, ticket, first, Instant::now() + left).await;
+    let guest = house.guests.earlier();
+    deliver(&house, envelope, record, (ticket, guest), first, Instant::now() + left).await;
 }
 
 /// Calls as the module orders until the message is over, then gives the final answer.
@@ -188,7 +202,7 @@
     house: &House,
     envelope: Rc<Envelope>,
     record: Record,
-    mut ticket: Ticket,
+    (mut ticket, guest): (Ticket, Guest),
     mut first: Option<Order>,
     deadline: Instant,
 ) {
@@ -204,6 +218,7 @@
                 let delivered = report.outcome == Outcome::Ok;
                 ticket.report(report);
                 if delivered {
+                    guest.delivered();
                     break Verdict::Delivered;
                 }
                 if over {
@@ -218,7 +233,7 @@
             Order::Fail => break Verdict::Undeliverable,
         }
     };
-    drop(ticket);
+    drop((ticket, guest));
     house.write_down(&record, verdict, deadline).await;
     if let Some(hook) = &house.hook {
         hook.final_answer(&envelope, house.class(&envelope), verdict);
--- /dev/null
+++ b/src/door/places.rs
@@ -0,0 +1,365 @@
+//! Who has a place, who gets one and who gives one up. No I/O and no clock: times come from any start, never back.
+
+use super::rate::{Rate, Rates};
+use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// How long a connection is let be, though its place is wanted: a usual client writes its request at once, and no client
+/// waits longer than 400 ms for the answer to one.
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+
+/// What a connection does with its place, those first that can best be spared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Use {
+    /// Nothing has come on it.
+    Silent,
+    /// A part of a request has come.
+    Begun,
+    /// It was answered, and the next request has not begun.
+    Resting,
+    /// It is owed something.
+    Busy,
+}
+
+impl Use {
+    fn patience(self) -> Option<Duration> {
+        match self {
+            Use::Silent | Use::Resting => Some(PATIENCE.0),
+            Use::Begun => Some(PATIENCE.1),
+            Use::Busy => None,
+        }
+    }
+}
+
+/// What is settled about places.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// All places.
+    pub places: usize,
+    /// Those of them that only known clients may take.
+    pub reserve: usize,
+    /// Most places of one address, if bounded.
+    pub per_address: Option<usize>,
+    /// Most places of one prefix, if bounded.
+    pub per_prefix: Option<usize>,
+    /// How often one address may come, if bounded.
+    pub address_rate: Option<Rate>,
+    /// How often one prefix may come, if bounded.
+    pub prefix_rate: Option<Rate>,
+    /// Bits of a prefix, for IPv4 and IPv6.
+    pub prefix: (u8, u8),
+    /// Addresses of known clients.
+    pub known: Vec<IpNet>,
+    /// Addresses and prefixes that are remembered for their rate, each.
+    pub remembered: usize,
+}
+
+impl Rules {
+    /// So many places and nothing else settled.
+    pub fn open(places: usize) -> Self {
+        Rules {
+            places: places.max(1),
+            reserve: 0,
+            per_address: None,
+            per_prefix: None,
+            address_rate: None,
+            prefix_rate: None,
+            prefix: (24, 64),
+            known: Vec::new(),
+            remembered: 4096,
+        }
+    }
+}
+
+/// Why somebody is turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// Its address came too often.
+    AddressRate,
+    /// Its prefix came too often.
+    PrefixRate,
+    /// Its address holds all that it may.
+    Address,
+    /// Its prefix holds all that it may.
+    Prefix,
+    /// No place is free, and none can be spared.
+    Places,
+}
+
+impl fmt::Display for Why {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Why::AddressRate => "address rate",
+            Why::PrefixRate => "prefix rate",
+            Why::Address => "address cap",
+            Why::Prefix => "prefix cap",
+            Why::Places => "no place",
+        })
+    }
+}
+
+/// The answer to one that asks for a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seating {
+    /// It has this place.
+    Seated(u64),
+    /// It may have one as soon as this one has left, which is to be told to.
+    After(u64),
+    /// There is none now, for this reason.
+    None(Why),
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    address: IpAddr,
+    prefix: IpNet,
+    known: bool,
+    what: Use,
+    since: Duration,
+    /// It was told to leave.
+    leaving: bool,
+}
+
+/// What one address or prefix holds.
+#[derive(Clone, Debug, Default)]
+struct Holding {
+    /// All its places.
+    all: usize,
+    /// Those that may be given up one day, those first that can best be spared.
+    idle: BTreeSet<(Use, Duration, u64)>,
+}
+
+/// The places.
+pub struct Places {
+    rules: Rules,
+    places: BTreeMap<u64, Place>,
+    made: u64,
+    unknown: usize,
+    /// Of unknown clients, by address; and the addresses by how many they hold.
+    addresses: BTreeMap<IpAddr, Holding>,
+    order: BTreeSet<(usize, IpAddr)>,
+    /// Of known clients.
+    known_idle: BTreeSet<(Use, Duration, u64)>,
+    prefixes: BTreeMap<IpNet, usize>,
+    address_rates: Option<Rates<IpAddr>>,
+    prefix_rates: Option<Rates<IpNet>>,
+}
+
+/// An IPv4 address in IPv6 clothes is that IPv4 address.
+fn plain(address: IpAddr) -> IpAddr {
+    address.to_canonical()
+}
+
+fn prefix(address: IpAddr, bits: (u8, u8)) -> IpNet {
+    match address {
+        IpAddr::V4(a) => IpNet::V4(Ipv4Net::new(a, bits.0.min(32)).expect("at most 32").trunc()),
+        IpAddr::V6(a) => IpNet::V6(Ipv6Net::new(a, bits.1.min(128)).expect("at most 128").trunc()),
+    }
+}
+
+impl Places {
+    /// All of them free.
+    pub fn new(rules: Rules) -> Self {
+        Places {
+            address_rates: rules.address_rate.map(|r| Rates::new(r, rules.remembered)),
+            prefix_rates: rules.prefix_rate.map(|r| Rates::new(r, rules.remembered)),
+            rules,
+            places: BTreeMap::new(),
+            made: 0,
+            unknown: 0,
+            addresses: BTreeMap::new(),
+            order: BTreeSet::new(),
+            known_idle: BTreeSet::new(),
+            prefixes: BTreeMap::new(),
+        }
+    }
+
+    /// Whether an address is one of a known client.
+    pub fn knows(&self, address: IpAddr) -> bool {
+        let address = plain(address);
+        self.rules.known.iter().any(|net| net.contains(&address))
+    }
+
+    /// Counts a connection that comes, against the rates. Where it comes too often, the time is given after which it
+    /// would not.
+    pub fn come(&mut self, now: Duration, address: IpAddr) -> Result<(), (Why, Duration)> {
+        if self.knows(address) {
+            return Ok(());
+        }
+        let address = plain(address);
+        if let Some(rates) = &mut self.address_rates {
+            rates.come(now, &address).map_err(|wait| (Why::AddressRate, wait))?;
+        }
+        if let Some(rates) = &mut self.prefix_rates {
+            rates.come(now, &prefix(address, self.rules.prefix)).map_err(|wait| (Why::PrefixRate, wait))?;
+        }
+        Ok(())
+    }
+
+    /// Asks for a place.
+    pub fn seat(&mut self, now: Duration, address: IpAddr) -> Seating {
+        let address = plain(address);
+        let (known, net) = (self.knows(address), prefix(address, self.rules.prefix));
+        if !known {
+            let held = self.addresses.get(&address).map_or(0, |h| h.all);
+            if self.rules.per_address.is_some_and(|most| held >= most) {
+                return self.own(now, address).map_or(Seating::None(Why::Address), |no| self.after(no));
+            }
+            let held = self.prefixes.get(&net).copied().unwrap_or(0);
+            if self.rules.per_prefix.is_some_and(|most| held >= most) {
+                return self.own(now, address).map_or(Seating::None(Why::Prefix), |no| self.after(no));
+            }
+        }
+        let open = self.rules.places - self.rules.reserve.min(self.rules.places - 1);
+        let full = self.places.len() >= self.rules.places || (!known && self.unknown >= open);
+        if full {
+            return match self.spare(now, address, known) {
+                Some(no) => self.after(no),
+                None => Seating::None(Why::Places),
+            };
+        }
+        let no = self.made;
+        self.made += 1;
+        let place = Place { address, prefix: net, known, what: Use::Silent, since: now, leaving: false };
+        self.places.insert(no, place);
+        self.count(no, true);
+        Seating::Seated(no)
+    }
+
+    /// A place is used otherwise from now on.
+    pub fn used(&mut self, now: Duration, no: u64, what: Use) {
+        if self.places.get(&no).is_some_and(|p| !p.leaving) {
+            self.index(no, false);
+            if let Some(place) = self.places.get_mut(&no) {
+                (place.what, place.since) = (what, now);
+            }
+            self.index(no, true);
+        }
+    }
+
+    /// Whoever has this place turned out to be a known client.
+    pub fn identified(&mut self, no: u64) {
+        if self.places.get(&no).is_some_and(|p| !p.known) {
+            self.count(no, false);
+            if let Some(place) = self.places.get_mut(&no) {
+                place.known = true;
+            }
+            self.count(no, true);
+        }
+    }
+
+    /// A place is free again.
+    pub fn left(&mut self, no: u64) {
+        if self.places.contains_key(&no) {
+            self.count(no, false);
+            self.places.remove(&no);
+        }
+    }
+
+    /// Places that are taken.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether all are free.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Whose a place is.
+    pub fn address(&self, no: u64) -> Option<IpAddr> {
+        self.places.get(&no).map(|p| p.address)
+    }
+
+    /// Places of unknown clients, of one address, and of its prefix.
+    pub fn held(&self, address: IpAddr) -> (usize, usize, usize) {
+        let address = plain(address);
+        let net = prefix(address, self.rules.prefix);
+        let own = self.addresses.get(&address).map_or(0, |h| h.all);
+        (self.unknown, own, self.prefixes.get(&net).copied().unwrap_or(0))
+    }
+
+    /// Entries of all tables.
+    pub fn remembered(&self) -> usize {
+        let rates = self.address_rates.as_ref().map_or(0, Rates::len);
+        rates + self.prefix_rates.as_ref().map_or(0, Rates::len) + self.addresses.len() + self.prefixes.len()
+    }
+
+    /// Told to leave: it is nobody's choice any more.
+    fn after(&mut self, no: u64) -> Seating {
+        self.index(no, false);
+        if let Some(place) = self.places.get_mut(&no) {
+            place.leaving = true;
+        }
+        Seating::After(no)
+    }
+
+    /// One of its own that can be spared, for one that may hold no more.
+    fn own(&self, now: Duration, address: IpAddr) -> Option<u64> {
+        best(now, &self.addresses.get(&address)?.idle)
+    }
+
+    /// The one that can best be spared for somebody: of the unknown address that holds most, and never of one that holds
+    /// no more than it would itself. A known client takes from the unknown first.
+    fn spare(&self, now: Duration, address: IpAddr, known: bool) -> Option<u64> {
+        let own = if known { 0 } else { self.addresses.get(&address).map_or(0, |h| h.all) };
+        let fair = |held: usize, other: &IpAddr| known || held > own || *other == address;
+        let mut others = self.order.iter().rev().filter(|(held, other)| fair(*held, other));
+        let spared = others.find_map(|(_, other)| best(now, &self.addresses.get(other)?.idle));
+        spared.or_else(|| best(now, &self.known_idle).filter(|_| known))
+    }
+
+    fn count(&mut self, no: u64, comes: bool) {
+        if !comes {
+            self.index(no, false);
+        }
+        let Some(Place { address, prefix, known, .. }) = self.places.get(&no).cloned() else { return };
+        if !known {
+            let held = self.addresses.get(&address).map_or(0, |h| h.all);
+            self.order.remove(&(held, address));
+            let now = if comes { held + 1 } else { held - 1 };
+            if now == 0 {
+                self.addresses.remove(&address);
+            } else {
+                self.addresses.entry(address).or_default().all = now;
+                self.order.insert((now, address));
+            }
+            let net = self.prefixes.entry(prefix).or_default();
+            *net = if comes { *net + 1 } else { *net - 1 };
+            if *net == 0 {
+                self.prefixes.remove(&prefix);
+            }
+            self.unknown = if comes { self.unknown + 1 } else { self.unknown - 1 };
+        }
+        if comes {
+            self.index(no, true);
+        }
+    }
+
+    fn index(&mut self, no: u64, comes: bool) {
+        let Some(place) = self.places.get(&no) else { return };
+        let key = (place.what, place.since, no);
+        let idle = match place.known {
+            true => Some(&mut self.known_idle),
+            false => self.addresses.get_mut(&place.address).map(|h| &mut h.idle),
+        };
+        if let Some(idle) = idle {
+            if comes && place.what != Use::Busy && !place.leaving {
+                idle.insert(key);
+            } else {
+                idle.remove(&key);
+            }
+        }
+    }
+}
+
+/// The first that has had its time.
+fn best(now: Duration, idle: &BTreeSet<(Use, Duration, u64)>) -> Option<u64> {
+    [Use::Silent, Use::Begun, Use::Resting].into_iter().find_map(|what| {
+        let (_, since, no) = idle.range((what, Duration::ZERO, 0)..).next().filter(|(w, ..)| *w == what)?;
+        what.patience().filter(|p| now >= *since + *p).map(|_| *no)
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod config;
 pub mod core;
+pub mod door;
 pub mod interface;
 pub mod net;
 pub mod policy;
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,11 +13,14 @@
 use raildeal::config::{Config, Updates};
 use raildeal::core::desk::{Desk, Hands};
 use raildeal::core::directory::{Directory, Provider};
+use raildeal::core::guests::Guests;
 use raildeal::core::hook::Hook;
 use raildeal::core::invocation::{self, House};
 use raildeal::core::journal::{Journal, Setup};
 use raildeal::core::wheel::Wheel;
 use raildeal::core::{span, Front, Invoker as _};
+use raildeal::door::budget::Budget;
+use raildeal::door::places::Rules;
 use raildeal::net::by_kind::ByKind;
 use raildeal::net::calls::Calls;
 use raildeal::net::dns::server::{UpdatePort, Zones};
@@ -29,9 +32,10 @@
 use raildeal::net::platform::notices::Notices;
 use raildeal::net::platform::providers::Poster;
 use raildeal::net::platform::watch::Watch;
-use raildeal::net::seats::Seats;
+use raildeal::net::seats::{Seats, WhenFull};
 use raildeal::net::{MQTT, PLATFORM};
 use raildeal::Relay;
+use rustix::process::{getrlimit, Resource};
 use std::collections::hash_map::RandomState;
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher};
@@ -47,8 +51,6 @@
 const LAST_CALL: Duration = Duration::from_millis(2000);
 /// The process ends so long after the signal, before it would be killed.
 const END: Duration = Duration::from_millis(3400);
-/// Descriptors of the process's own: journal, lock, ports, signals, the poller, the watch, notices.
-const OWN: usize = 24;
 /// Connections that may bring updates of the directory.
 const UPDATERS: usize = 8;
 
@@ -132,22 +134,26 @@
     Signals::new(which).map_err(|e| format!("signals: {e}"))
 }
 
-/// Descriptors for connections.
-fn descriptors(config: &Config) -> usize {
-    config.sockets.saturating_sub(OWN)
-}
-
-/// Those of them that clients may hold.
-fn clients(config: &Config) -> usize {
-    descriptors(config) / 3
+/// Who may hold how many descriptors: of those that are told, or fewer, where the system allows fewer.
+fn budget(config: &Config) -> Budget {
+    let updates = config.dns.as_ref().and_then(|d| d.updates.as_ref()).map_or(0, |_| UPDATERS);
+    let allowed = getrlimit(Resource::Nofile).current;
+    let budget = Budget::split(config.sockets, allowed, config.deployment.settings.slots as usize, updates);
+    if budget.all < config.sockets {
+        let told = config.sockets;
+        log::warn!(
+            "limits.sockets: {told} are told, but the system allows {}; that many are used",
+            budget.all
+        );
+    }
+    budget
 }
 
 /// Those who call providers, by the wire that they speak.
-fn providers(config: &Config, wheel: &Rc<Wheel>) -> Rc<ByKind> {
+fn providers(config: &Config, budget: &Budget, wheel: &Rc<Wheel>) -> Rc<ByKind> {
     let deployment = &config.deployment;
-    // What clients and calls that are out leave of the descriptors, for both wires together.
-    let rest = descriptors(config).saturating_sub(clients(config) + deployment.settings.slots as usize);
-    let most = rest / if config.brokers.is_some() { 2 } else { 1 };
+    // Both wires together keep what the budget has for it.
+    let most = budget.kept / if config.brokers.is_some() { 2 } else { 1 };
     let (connect, idle) = (span(deployment.connect_timeout), span(deployment.settings.idle_close));
     let posters = Calls::new(Poster { columns: config.columns.clone() }, wheel.clone(), connect, idle, most);
     let brokers = config.brokers.as_ref().map(|b| {
@@ -183,7 +189,8 @@
     let (journal, unfinished) = Journal::open(&config.state, Setup { seed: salt(), ..config.store })
         .map_err(|e| format!("state: {}: {e}", config.state.display()))?;
     let (tended, synced, ended) = (journal.clone(), journal.clone(), journal.clone());
-    let invoker = providers(&config, &wheel);
+    let budget = budget(&config);
+    let invoker = providers(&config, &budget, &wheel);
     let relay = Relay::new(settings.clone(), config.seed).map_err(|e| e.to_string())?;
     let (watch, asked) = async_channel::bounded(1);
     let desk = Desk::new(relay, directory.clone(), Rc::new(Wishes { invoker: invoker.clone(), watch }));
@@ -194,12 +201,14 @@
     let mut fronts: BTreeMap<u8, Rc<dyn Front>> = BTreeMap::new();
     fronts.extend(notices.clone().map(|n| (PLATFORM, n as Rc<dyn Front>)));
     fronts.extend(sessions.clone().map(|s| (MQTT, s as Rc<dyn Front>)));
+    let limits = settings.clone();
     let house = Rc::new(House {
         settings,
         classes: deployment.classes.clone(),
         hook: config.hook.as_deref().map(script).transpose()?,
         desk: desk.clone(),
         journal,
+        guests: Guests::new(config.door.limits(limits.room as usize, &deployment.classes)),
         directory: directory.clone(),
         invoker: invoker.clone(),
         fronts,
@@ -236,9 +245,14 @@
     for record in unfinished {
         keep(&executor, invocation::resume(house.clone(), record));
     }
-    let (seats, run) = (Seats::new(clients(&config)), executor.clone());
+    let door = &config.door;
+    let seats = Seats::new(door.rules(budget.clients), budget.lobby, door.when_full, config.seed);
+    keep(&executor, seats.clone().tell(wheel.clone()));
+    let run = executor.clone();
     let ingress = Ingress::new(house.clone(), deployment, PLATFORM, run.clone());
-    let port = sessions.clone().map(|s| Port::new(house.clone(), s, deployment, MQTT, run.clone()));
+    let port = sessions
+        .clone()
+        .map(|s| Port::new(house.clone(), s, deployment, MQTT, door.known_names.clone(), run.clone()));
     let mut listening = Vec::new();
     if let Some(listener) = platform_port {
         let clients = seats.clone().listen(listener, ingress.clone(), wheel.clone(), run.clone());
@@ -249,7 +263,8 @@
     }
     if let Some(((listener, zones), signer)) = update_port.zip(zones.clone()).zip(signer) {
         let updates = Rc::new(UpdatePort { zones, desk: desk.clone(), signer, wheel: wheel.clone() });
-        listening.push(executor.spawn(Seats::new(UPDATERS).listen(listener, updates, wheel.clone(), run)));
+        let seats = Seats::new(Rules::open(UPDATERS), 1, WhenFull::Queue, config.seed);
+        listening.push(executor.spawn(seats.listen(listener, updates, wheel.clone(), run)));
     }
     let reloading = desk.clone();
     keep(&executor, async move {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -4,6 +4,7 @@
 use crate::core::directory::Provider;
 use crate::core::wheel::Wheel;
 use crate::core::{Envelope, Invoker, InvokerCall, Local, Report};
+use crate::net::seats::is_short;
 use crate::net::stream::Stream;
 use crate::{Endpoint, Outcome};
 use futures_lite::{Future, FutureExt};
@@ -122,21 +123,29 @@
         }
     }
 
-    fn keep(&self, provider: Endpoint, link: Link) {
+    /// Closes the kept connection that was used least lately; false where none is kept.
+    fn give_up_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
-        if idle.values().map(Vec::len).sum::<usize>() >= self.most {
-            // The one that was used least lately makes room; each provider's stand in that order.
-            let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
-            match oldest {
-                Some(links) => links.remove(0).stream.try_send(self.dialect.farewell()),
-                None => return link.stream.try_send(self.dialect.farewell()),
-            }
+        // Each provider's stand in that order.
+        let oldest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since);
+        oldest.map(|links| links.remove(0).stream.try_send(self.dialect.farewell())).is_some()
+    }
+
+    fn keep(&self, provider: Endpoint, link: Link) {
+        let kept = self.idle.borrow().values().map(Vec::len).sum::<usize>();
+        if kept >= self.most && !self.give_up_oldest() {
+            return link.stream.try_send(self.dialect.farewell());
         }
+        let mut idle = self.idle.borrow_mut();
         idle.entry(provider).or_default().push(Link { since: Instant::now(), ..link });
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<Link> {
-        let mut stream = Stream::connect(address).await?;
+        let mut stream = match Stream::connect(address).await {
+            // A call goes before what is only kept.
+            Err(e) if is_short(&e) && self.give_up_oldest() => Stream::connect(address).await?,
+            other => other?,
+        };
         let told = self.dialect.greet(&mut stream).await?;
         let idle_most = told.map_or(self.idle_most, |t| self.idle_most.min(t));
         Ok(Link { stream, idle_most, since: Instant::now() })
--- a/src/net/dns/server.rs
+++ b/src/net/dns/server.rs
@@ -6,6 +6,7 @@
 use crate::core::directory::News;
 use crate::core::unix_ms;
 use crate::core::wheel::Wheel;
+use crate::door::places::Why;
 use crate::net::seats::{Seat, Serve};
 use crate::net::stream::Stream;
 use async_io::Async;
@@ -182,6 +183,12 @@
 }
 
 impl Serve for UpdatePort {
+    async fn full(&self, _: Async<TcpStream>, _: Why, _: Duration) {}
+
+    fn full_at_once(&self, _: Duration) -> Vec<u8> {
+        Vec::new()
+    }
+
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
         let Ok(mut stream) = Stream::new(socket) else { return };
         while let Some(Ok(Some(message))) = self.wheel.limit(IDLE, read(&mut stream)).await {
--- a/src/net/mqtt/ingress.rs
+++ b/src/net/mqtt/ingress.rs
@@ -5,6 +5,7 @@
 use super::sessions::{ReplyTo, Session, Sessions};
 use crate::core::invocation::{self, House, Reply};
 use crate::core::{is_word, span, Envelope, Local, MAX_BODY};
+use crate::door::places::Why;
 use crate::net::seats::{Seat, Serve};
 use crate::net::stream::{Stream, Writer};
 use crate::settings::Deployment;
@@ -31,6 +32,8 @@
 const RECEIVE_MAX: u16 = 128;
 /// CONNACK of MQTT 3.1.1: unacceptable protocol version.
 const OLD_REFUSAL: &[u8] = &[0x20, 2, 0, 1];
+/// CONNACK of MQTT 3.1.1: server unavailable.
+const OLD_FULL: &[u8] = &[0x20, 2, 0, 3];
 
 /// The port for MQTT clients.
 pub struct Port {
@@ -38,6 +41,8 @@
     sessions: Rc<Sessions>,
     classes: Vec<String>,
     front: u8,
+    /// Client ids and user names of known clients.
+    known: Vec<String>,
     executor: Rc<LocalExecutor<'static>>,
     closing: Cell<bool>,
 }
@@ -49,10 +54,11 @@
         sessions: Rc<Sessions>,
         deployment: &Deployment,
         front: u8,
+        known: Vec<String>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let classes = deployment.classes.clone();
-        Rc::new(Port { house, sessions, classes, front, executor, closing: Cell::new(false) })
+        Rc::new(Port { house, sessions, classes, front, known, executor, closing: Cell::new(false) })
     }
 
     /// Takes no further messages on.
@@ -134,7 +140,15 @@
         }
         match self.message(publish) {
             Ok((envelope, left)) => {
-                self.executor.spawn(invocation::serve(self.house.clone(), envelope, left, answer)).detach();
+                self.executor
+                    .spawn(invocation::serve(
+                        self.house.clone(),
+                        session.client_id.as_str().into(),
+                        envelope,
+                        left,
+                        answer,
+                    ))
+                    .detach();
                 // Acknowledgements have to go in the order in which the messages came.
                 let _ = waits.recv().await;
             }
@@ -181,7 +195,42 @@
     }
 }
 
+impl Port {
+    /// Whether a client names itself as one that is known.
+    fn knows(&self, connect: &Connect) -> bool {
+        let user = connect.username.as_ref().map(|u| u.to_string());
+        self.known.iter().any(|k| *k == *connect.client_id || user.as_ref() == Some(k))
+    }
+}
+
 impl Serve for Port {
+    async fn full(&self, socket: Async<TcpStream>, why: Why, wait: Duration) {
+        let Ok(mut stream) = Stream::new(socket) else { return };
+        // Only an answer to a CONNECT is one.
+        let code = match why {
+            Why::AddressRate | Why::PrefixRate => ConnectReasonCode::ConnectionRateExceeded,
+            Why::Address | Why::Prefix | Why::Places => ConnectReasonCode::QuotaExceeded,
+        };
+        let bytes = match read(&mut stream).await {
+            Ok(Some(Packet::Connect(connect))) => {
+                let told = connect.properties.request_problem_info != Some(false);
+                let waits = told.then(|| user("wait-ms", wait.as_millis().to_string()));
+                let properties =
+                    ConnackProperties { user_properties: waits.into_iter().collect(), ..Default::default() };
+                encode(&Packet::Connack(Connack { properties, ..Connack::new(false, code) }))
+                    .unwrap_or_default()
+            }
+            Err(e) if matches!(Bad::behind(&e), Some(Bad::Old)) => OLD_FULL.to_vec(),
+            _ => return,
+        };
+        let _ = stream.send(&bytes).await;
+        stream.part().await;
+    }
+
+    fn full_at_once(&self, _: Duration) -> Vec<u8> {
+        Vec::new()
+    }
+
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
         let Ok(mut stream) = Stream::new(socket) else { return };
         let wheel = &self.house.wheel;
@@ -191,6 +240,9 @@
             Some(Ok(Some(Packet::Connect(connect)))) if connect.properties.auth_method.is_none() => {
                 // A subscriber may be silent for as long as it likes; keep-alive says when it is gone.
                 seat.busy();
+                if self.knows(&connect) {
+                    seat.identified();
+                }
                 connect
             }
             other => {
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -4,6 +4,7 @@
 use crate::core::invocation::{self, House, Reply};
 use crate::core::wheel::Wheel;
 use crate::core::{is_word, Envelope, Local};
+use crate::door::places::Why;
 use crate::net::seats::{Seat, Serve};
 use crate::net::stream::Stream;
 use crate::settings::Deployment;
@@ -141,8 +142,19 @@
 }
 
 impl Serve for Ingress {
+    async fn full(&self, socket: Async<TcpStream>, _: Why, wait: Duration) {
+        let Ok(mut stream) = Stream::new(socket) else { return };
+        let _ = stream.send(&self.full_at_once(wait)).await;
+        stream.part().await;
+    }
+
+    fn full_at_once(&self, wait: Duration) -> Vec<u8> {
+        head(503, &retry_after(wait), false).into_bytes()
+    }
+
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
         let Ok(mut stream) = Stream::new(socket) else { return };
+        let client = seat.client();
         loop {
             let read = self.read(&mut stream, &seat).await.and_then(|read| {
                 let Some((request, body)) = read else { return Ok(None) };
@@ -168,7 +180,13 @@
             let answer = Answer { stream, keep, back: sender, wheel: self.house.wheel.clone() };
             match message {
                 Some((envelope, left)) => {
-                    let work = invocation::serve(self.house.clone(), envelope, left, Box::new(answer));
+                    let work = invocation::serve(
+                        self.house.clone(),
+                        client.clone(),
+                        envelope,
+                        left,
+                        Box::new(answer),
+                    );
                     self.executor.spawn(work).detach();
                 }
                 None => drop(answer.give(200, "").await),
@@ -226,11 +244,7 @@
     }
 
     fn rejected<'a>(self: Box<Self>, wait: Duration) -> Local<'a, ()> {
-        let wait = match wait {
-            Duration::ZERO => String::new(),
-            wait => format!("Retry-After: {:.3}\r\n", wait.as_secs_f64()),
-        };
-        async move { drop(self.give(503, &wait).await) }.boxed_local()
+        async move { drop(self.give(503, &retry_after(wait)).await) }.boxed_local()
     }
 
     fn failed<'a>(self: Box<Self>) -> Local<'a, ()> {
@@ -238,6 +252,13 @@
     }
 }
 
+fn retry_after(wait: Duration) -> String {
+    match wait {
+        Duration::ZERO => String::new(),
+        wait => format!("Retry-After: {:.3}\r\n", wait.as_secs_f64()),
+    }
+}
+
 fn head(status: u16, headers: &str, keep: bool) -> String {
     let connection = if keep { "" } else { "Connection: close\r\n" };
     format!("HTTP/1.1 {status} {}\r\nContent-Length: 0\r\n{headers}{connection}\r\n", reason(status))
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -1,75 +1,118 @@
-//! The connections that others may open to this process: each takes a seat, and gives it back when it ends.
+//! The connections that others may open to this process: each takes a place, and gives it back when it ends. Who gets
+//! one, and who has to go for it, is decided in [`crate::door::places`]; here it is done.
 //!
-//! With no seat free, a connection that keeps one without asking for anything has to go: those that never asked first,
-//! then those that rest between two requests. One that is owed an answer never goes.
+//! What finds no place waits a little in the lobby, and is then told that all is full. One that is owed an answer never
+//! goes.
 
 use crate::core::wheel::Wheel;
+use crate::door::places::{Places, Rules, Seating, Use, Why};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
+use event_listener::{Event, EventListener};
 use futures_lite::{future, Future, FutureExt};
+use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{TcpListener, TcpStream};
+use std::fs::File;
+use std::io::{self, Write};
+use std::net::{IpAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// After a failed accept (no descriptor is free, say) the next one waits this long.
+/// After an accept that failed and could not be helped, the next one waits this long.
 const ACCEPT_REST: Duration = Duration::from_millis(50);
-/// With no seat free and none to be had, it is looked again after this time.
+/// In the lobby it is looked again after this time, if no place came free before.
 const LOOK: Duration = Duration::from_millis(10);
-/// Connections that wait to be taken; more are turned away by the system, and come back only after a second.
+/// What has waited in the lobby for so long is told that all is full.
+const LOBBY: Duration = Duration::from_millis(250);
+/// Connections that are told so at once, and how long each may take over it. Beyond them it is said without listening.
+const FAREWELLS: (usize, Duration) = (8, Duration::from_millis(100));
+/// When those who find no place should come back, in the mean.
+const COME_BACK: Duration = Duration::from_millis(500);
+/// Between two lines of the log on what the door did.
+const TELL: Duration = Duration::from_secs(60);
+/// Connections that wait to be accepted; more are turned away by the system, and come back only after a second.
 const BACKLOG: i32 = 1024;
 
 /// What a port does with its connections.
 pub trait Serve {
     /// Serves one connection to its end. Dropped before that, where its seat says that nothing is owed on it.
     fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) -> impl Future<Output = ()>;
-}
 
-/// What a connection does with its seat.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Use {
-    /// Nothing has come on it.
-    Silent,
-    /// A part of a request has come.
-    Begun,
-    /// It was answered, and the next request has not begun.
-    Resting,
-    /// It is owed something.
-    Busy,
+    /// Tells a connection that there is no place for it, and when to come back. May be dropped at any time.
+    fn full(&self, socket: Async<TcpStream>, why: Why, wait: Duration) -> impl Future<Output = ()>;
+
+    /// The same in one write, without listening; nothing, where the protocol has no such word.
+    fn full_at_once(&self, wait: Duration) -> Vec<u8>;
 }
 
-impl Use {
-    /// How long a connection is let be, though its seat is wanted: a usual client writes its request at once, and no
-    /// client waits longer than this for the answer to one.
-    fn patience(self) -> Option<Duration> {
-        match self {
-            Use::Silent | Use::Resting => Some(Duration::from_millis(50)),
-            Use::Begun => Some(Duration::from_millis(400)),
-            Use::Busy => None,
-        }
-    }
+/// What is done with connections that come while the lobby is full.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WhenFull {
+    /// They wait in the system's queue.
+    #[default]
+    Queue,
+    /// They are told at once.
+    Refuse,
 }
 
-/// Owner of the seats.
+/// Owner of the places.
 pub struct Seats {
+    places: RefCell<Places>,
+    /// Closed for a connection that has to go, by place.
+    leave: RefCell<BTreeMap<u64, Sender<()>>>,
+    freed: Event,
+    start: Instant,
+    lobby: Count,
+    farewells: Count,
+    when_full: WhenFull,
+    rng: RefCell<fastrand::Rng>,
+    /// Given up for a moment when there is no other descriptor to accept with.
+    held_back: RefCell<Option<File>>,
+    told: RefCell<BTreeMap<String, u64>>,
+}
+
+/// How many of something there are, up to a bound.
+struct Count {
+    now: Rc<Cell<usize>>,
     most: usize,
-    made: Cell<u64>,
-    taken: RefCell<BTreeMap<u64, Rc<Seat>>>,
-    freed: (Sender<()>, Receiver<()>),
 }
 
-/// One connection's seat.
+/// One of them; dropped, there is one less.
+struct Counted(Rc<Cell<usize>>);
+
+impl Count {
+    fn new(most: usize) -> Self {
+        Count { now: Rc::default(), most }
+    }
+
+    fn one(&self) -> Option<Counted> {
+        (self.now.get() < self.most).then(|| {
+            self.now.set(self.now.get() + 1);
+            Counted(self.now.clone())
+        })
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// One connection's place; dropped, it is free again.
 pub struct Seat {
-    state: Cell<(Use, Instant)>,
+    seats: Rc<Seats>,
+    no: u64,
     /// Closed when its connection has to go.
-    leave: (Sender<()>, Receiver<()>),
+    left: Receiver<()>,
 }
 
 impl Seat {
     fn now(&self, what: Use) {
-        self.state.set((what, Instant::now()));
+        self.seats.places.borrow_mut().used(self.seats.start.elapsed(), self.no, what);
     }
 
     /// A request has begun to come.
@@ -86,19 +129,42 @@
     pub fn resting(&self) {
         self.now(Use::Resting);
     }
+
+    /// The address that it came from.
+    pub fn client(&self) -> Rc<str> {
+        let address = self.seats.places.borrow().address(self.no);
+        address.map_or_else(|| "".into(), |a| a.to_string().into())
+    }
+
+    /// Whoever this is, it is one of the known clients.
+    pub fn identified(&self) {
+        self.seats.places.borrow_mut().identified(self.no);
+    }
 }
 
-/// A seat that is taken; dropped, it is free again.
-struct Taken {
-    seats: Rc<Seats>,
-    no: u64,
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.seats.places.borrow_mut().left(self.no);
+        self.seats.leave.borrow_mut().remove(&self.no);
+        self.seats.freed.notify(usize::MAX);
+    }
 }
 
 impl Seats {
-    /// So many seats.
-    pub fn new(most: usize) -> Rc<Self> {
-        let (made, taken) = (Cell::new(0), RefCell::default());
-        Rc::new(Seats { most: most.max(1), made, taken, freed: async_channel::bounded(1) })
+    /// Places by these rules, with so many in the lobby at most.
+    pub fn new(rules: Rules, lobby: usize, when_full: WhenFull, seed: u64) -> Rc<Self> {
+        Rc::new(Seats {
+            places: RefCell::new(Places::new(rules)),
+            leave: RefCell::default(),
+            freed: Event::new(),
+            start: Instant::now(),
+            lobby: Count::new(lobby.max(1)),
+            farewells: Count::new(FAREWELLS.0),
+            when_full,
+            rng: RefCell::new(fastrand::Rng::with_seed(seed)),
+            held_back: RefCell::new(File::open("/dev/null").ok()),
+            told: RefCell::default(),
+        })
     }
 
     /// Serves each connection that comes to a port, for ever.
@@ -113,12 +179,20 @@
             log::warn!("listen: {e}");
         }
         loop {
-            self.room(&wheel).await;
+            while self.when_full == WhenFull::Queue && self.lobby.now.get() >= self.lobby.most {
+                let freed = self.freed.listen();
+                wheel.limit(LOOK, freed).await;
+            }
             match listener.accept().await {
-                Ok((socket, _)) => {
-                    let (taken, port) = (self.take(), port.clone());
-                    executor.spawn(taken.hold(port, socket)).detach();
-                    // What came with it is read before another connection may want its seat.
+                Ok((socket, from)) => {
+                    self.arrive(socket, from.ip(), &port, &wheel, &executor);
+                    // One in a turn: what came with it is read, and others go on, before the next.
+                    future::yield_now().await;
+                }
+                Err(e) if is_short(&e) => {
+                    if !self.without_descriptor(&listener, &*port) {
+                        wheel.sleep(LOOK).await;
+                    }
                     future::yield_now().await;
                 }
                 Err(e) => {
@@ -129,49 +203,154 @@
         }
     }
 
-    /// Waits until a seat is free, and has the one that can best be spared given up for it.
-    async fn room(&self, wheel: &Rc<Wheel>) {
-        while self.taken.borrow().len() >= self.most {
-            if let Some(seat) = self.spare() {
-                log::debug!("seats: none free; one that is {:?} goes", seat.state.get().0);
-                seat.leave.1.close();
-                seat.busy();
+    /// Tells the log what the door did, now and then; runs for ever.
+    pub async fn tell(self: Rc<Self>, wheel: Rc<Wheel>) {
+        let mut before = BTreeMap::new();
+        loop {
+            wheel.sleep(TELL).await;
+            let now = self.told.borrow().clone();
+            if now != before {
+                let counts: Vec<String> = now.iter().map(|(what, n)| format!("{what} {n}")).collect();
+                log::info!("door: {}; {} places taken", counts.join(", "), self.places.borrow().len());
+                before = now;
             }
-            let _ = wheel.limit(LOOK, self.freed.1.recv()).await;
         }
     }
 
-    fn spare(&self) -> Option<Rc<Seat>> {
-        let taken = self.taken.borrow();
-        let idle = taken.values().filter(|s| {
-            let (what, since) = s.state.get();
-            what.patience().is_some_and(|p| since.elapsed() >= p)
-        });
-        idle.min_by_key(|s| (s.state.get().0 == Use::Resting, s.state.get().1)).cloned()
+    fn count(&self, what: String) {
+        *self.told.borrow_mut().entry(what).or_default() += 1;
     }
 
-    fn take(self: &Rc<Self>) -> Taken {
-        let no = self.made.get();
-        self.made.set(no + 1);
-        let state = Cell::new((Use::Silent, Instant::now()));
-        self.taken.borrow_mut().insert(no, Rc::new(Seat { state, leave: async_channel::bounded(1) }));
-        Taken { seats: self.clone(), no }
+    fn arrive<S: Serve + 'static>(
+        self: &Rc<Self>,
+        socket: Async<TcpStream>,
+        from: IpAddr,
+        port: &Rc<S>,
+        wheel: &Rc<Wheel>,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) {
+        let come = self.places.borrow_mut().come(self.start.elapsed(), from);
+        if let Err((why, wait)) = come {
+            return self.turn_away(socket, why, wait, port, wheel, executor);
+        }
+        // Listened for before anyone is told to leave, or that could have happened already.
+        let freed = self.freed.listen();
+        match self.seat(from) {
+            Ok(seat) => executor.spawn(hold(seat, port.clone(), socket)).detach(),
+            Err(Seating::None(why @ (Why::Address | Why::Prefix))) => {
+                self.turn_away(socket, why, COME_BACK, port, wheel, executor)
+            }
+            Err(_) => match self.lobby.one() {
+                Some(waiting) => {
+                    let (seats, port, wheel, run) =
+                        (self.clone(), port.clone(), wheel.clone(), executor.clone());
+                    let wait =
+                        async move { seats.wait((waiting, freed), socket, from, &port, &wheel, &run).await };
+                    executor.spawn(wait).detach();
+                }
+                None => self.turn_away(socket, Why::Places, COME_BACK, port, wheel, executor),
+            },
+        }
     }
-}
 
-impl Taken {
-    async fn hold<S: Serve>(self, port: Rc<S>, socket: Async<TcpStream>) {
-        let Some(seat) = self.seats.taken.borrow().get(&self.no).cloned() else { return };
-        let left = async {
-            let _ = seat.leave.1.recv().await;
-        };
-        port.serve(socket, seat.clone()).or(left).await;
+    /// Takes a place, or has one left for it.
+    fn seat(self: &Rc<Self>, from: IpAddr) -> Result<Rc<Seat>, Seating> {
+        let seating = self.places.borrow_mut().seat(self.start.elapsed(), from);
+        match seating {
+            Seating::Seated(no) => {
+                self.count("admitted".into());
+                let (leave, left) = async_channel::bounded(1);
+                self.leave.borrow_mut().insert(no, leave);
+                Ok(Rc::new(Seat { seats: self.clone(), no, left }))
+            }
+            Seating::After(no) => {
+                self.count("shed".into());
+                if let Some(leave) = self.leave.borrow().get(&no) {
+                    leave.close();
+                }
+                Err(seating)
+            }
+            Seating::None(_) => Err(seating),
+        }
     }
-}
 
-impl Drop for Taken {
-    fn drop(&mut self) {
-        self.seats.taken.borrow_mut().remove(&self.no);
-        let _ = self.seats.freed.0.try_send(());
+    /// Waits for a place.
+    async fn wait<S: Serve + 'static>(
+        self: Rc<Self>,
+        (waiting, mut freed): (Counted, EventListener),
+        socket: Async<TcpStream>,
+        from: IpAddr,
+        port: &Rc<S>,
+        wheel: &Rc<Wheel>,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) {
+        let by = Instant::now() + LOBBY;
+        while Instant::now() < by {
+            wheel.limit(LOOK, freed).await;
+            freed = self.freed.listen();
+            if let Ok(seat) = self.seat(from) {
+                drop(waiting);
+                self.freed.notify(usize::MAX);
+                return hold(seat, port.clone(), socket).await;
+            }
+        }
+        drop(waiting);
+        self.freed.notify(usize::MAX);
+        self.turn_away(socket, Why::Places, COME_BACK, port, wheel, executor);
+    }
+
+    /// Tells a connection that there is no place, and when to come back: not all at one time.
+    fn turn_away<S: Serve + 'static>(
+        self: &Rc<Self>,
+        socket: Async<TcpStream>,
+        why: Why,
+        wait: Duration,
+        port: &Rc<S>,
+        wheel: &Rc<Wheel>,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) {
+        self.count(format!("refused ({why})"));
+        let wait = wait.mul_f64(0.5 + self.rng.borrow_mut().f64());
+        match self.farewells.one() {
+            Some(parting) => {
+                let (port, wheel) = (port.clone(), wheel.clone());
+                let told = async move {
+                    wheel.limit(FAREWELLS.1, port.full(socket, why, wait)).await;
+                    drop(parting);
+                };
+                executor.spawn(told).detach();
+            }
+            None => drop(socket.get_ref().write(&port.full_at_once(wait))),
+        }
     }
+
+    /// Accepts one with the descriptor that is held back, tells it that all is full, and holds that back again. False if
+    /// it could not.
+    fn without_descriptor<S: Serve>(&self, listener: &Async<TcpListener>, port: &S) -> bool {
+        let given_up = self.held_back.borrow_mut().take().is_some();
+        let accepted = listener.get_ref().accept();
+        if let Ok((socket, _)) = &accepted {
+            self.count("refused (no descriptor)".into());
+            let wait = COME_BACK.mul_f64(0.5 + self.rng.borrow_mut().f64());
+            let _ = socket
+                .set_nonblocking(true)
+                .and_then(|()| (&*socket).write(&port.full_at_once(wait)).map(drop));
+        }
+        let done = accepted.is_ok();
+        drop(accepted);
+        *self.held_back.borrow_mut() = File::open("/dev/null").ok();
+        given_up && done
+    }
+}
+
+async fn hold<S: Serve>(seat: Rc<Seat>, port: Rc<S>, socket: Async<TcpStream>) {
+    let left = async {
+        let _ = seat.left.recv().await;
+    };
+    port.serve(socket, seat.clone()).or(left).await;
+}
+
+/// Whether an error says that there is no descriptor.
+pub fn is_short(e: &io::Error) -> bool {
+    matches!(e.raw_os_error().map(Errno::from_raw_os_error), Some(Errno::MFILE | Errno::NFILE))
 }
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -5,23 +5,17 @@
 
 #[test]
 fn every_operators_file_is_usable() {
-    for name in ["mqtt", "dns", "store"] {
+    for name in ["mqtt", "dns", "store", "door"] {
         let path = format!("deploy/{name}.toml");
         assert_eq!(Config::from_file(Path::new(&path)).err(), None, "{path}");
     }
 }
 
-#[test]
-fn a_store_setting_that_cannot_be_used_is_named() {
-    let text = std::fs::read_to_string("deploy/store.toml").expect("text");
+/// Each change to a file is refused with these words.
+fn named(file: &str, changes: &[(&str, &str, &str)]) {
+    let text = std::fs::read_to_string(file).expect("text");
     let folder = tempfile::TempDir::new().expect("a folder");
-    for (from, to, told) in [
-        ("disk_mb = 4000.0", "disk_mb = 0.01", "limits.disk_mb: 0.01"),
-        ("disk_mb = 4000.0", "disk_mb = -3.0", "limits.disk_mb: -3"),
-        ("bodies_mb = 64.0", "bodies_mb = nan", "store.bodies_mb: NaN"),
-        ("\"machine\"           ", "\"disk\"", "store.durability: unknown variant"),
-        ("bodies_mb", "bodies", "unknown field `bodies`"),
-    ] {
+    for (from, to, told) in changes {
         assert!(text.contains(from), "{from}");
         let path = folder.path().join("file.toml");
         std::fs::write(&path, text.replacen(from, to, 1)).expect("written");
@@ -29,3 +23,32 @@
         assert!(error.contains(told), "{error}");
     }
 }
+
+#[test]
+fn a_store_setting_that_cannot_be_used_is_named() {
+    named(
+        "deploy/store.toml",
+        &[
+            ("disk_mb = 4000.0", "disk_mb = 0.01", "limits.disk_mb: 0.01"),
+            ("disk_mb = 4000.0", "disk_mb = -3.0", "limits.disk_mb: -3"),
+            ("bodies_mb = 64.0", "bodies_mb = nan", "store.bodies_mb: NaN"),
+            ("\"machine\"           ", "\"disk\"", "store.durability: unknown variant"),
+            ("bodies_mb", "bodies", "unknown field `bodies`"),
+        ],
+    );
+}
+
+#[test]
+fn a_door_setting_that_cannot_be_used_is_named() {
+    named(
+        "deploy/door.toml",
+        &[
+            ("per_address = 40", "per_address = 0", "door.per_address: 0"),
+            ("rate_per_prefix = 200.0", "rate_per_prefix = -1.0", "door.rate_per_prefix: -1"),
+            ("prefix_bits = [24, 64]", "prefix_bits = [33, 64]", "door.prefix_bits: [33, 64]"),
+            ("127.0.0.2", "127.0.0.x", "door.known[1]: '127.0.0.x' is neither"),
+            ("known = [", "knwn = [", "unknown field `knwn`"),
+            ("when_full = \"refuse\"", "when_full = \"drop\"", "door.when_full: unknown variant"),
+        ],
+    );
+}
--- a/tests/invocation.rs
+++ b/tests/invocation.rs
@@ -3,10 +3,12 @@
 use async_executor::LocalExecutor;
 use raildeal::core::desk::{Desk, Hands};
 use raildeal::core::directory::{Directory, Entry, News, Provider};
+use raildeal::core::guests::Guests;
 use raildeal::core::invocation::{serve, House, Reply};
 use raildeal::core::journal::{Account, Journal, Setup};
 use raildeal::core::wheel::Wheel;
 use raildeal::core::{Envelope, Front, Invoker, InvokerCall, Local, Report, Verdict};
+use raildeal::door::messages::Limits;
 use raildeal::store::faulty::Faulty;
 use raildeal::{Class, Condition, DedupScope, Effect, Kind, Outcome, Relay, Settings};
 use std::cell::RefCell;
@@ -131,6 +133,7 @@
         hook: None,
         desk: desk.clone(),
         journal,
+        guests: Guests::new(Limits { room: 20, ..Limits::default() }),
         directory,
         invoker: invoker.clone(),
         fronts: [(0, front.clone() as Rc<dyn Front>)].into(),
@@ -142,7 +145,7 @@
     executor.spawn(async move { turning.turn().await }).detach();
     executor.spawn(async move { desk.keep_time(&timing).await }).detach();
     let envelope = Envelope { id: "m1".into(), key: Some("k".into()), dest: 1, ..Envelope::default() };
-    let message = serve(house, envelope, Duration::from_secs(16), Box::new(Yes));
+    let message = serve(house, "tested".into(), envelope, Duration::from_secs(16), Box::new(Yes));
     async_io::block_on(executor.run(message));
     let (went, told) = (invoker.went.borrow().clone(), front.0.borrow().clone());
     (went, told, fs::read(folder.path().join(segment())).expect("a segment"))
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod bad_clients;
 mod discovery;
 mod dns_only;
+mod door;
 mod hook_only;
 mod http;
 mod long_day;
@@ -52,4 +53,5 @@
     garbage_from_a_provider_counts_as_a_lost_call,
     garbage_from_a_client_harms_nobody_else,
     without_room_what_is_new_is_refused_and_what_is_held_ends,
+    one_client_does_not_fill_the_room,
 );
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -155,6 +155,8 @@
     pub program: Program,
     /// Where its clients connect.
     pub address: SocketAddr,
+    /// Where those of the other front do.
+    pub other: SocketAddr,
     pub discovery: Discovery,
     pub client: W,
     pub providers: Providers,
@@ -188,22 +190,35 @@
             discovery.list(uid, stand_ins.start::<W>(uid), zone, W::KIND, "active");
         }
         let folder = TempDir::new().expect("a folder");
-        let (program, address) = begin::<W>(&folder, &discovery, &settings);
+        let (program, [address, other]) = begin::<W>(&folder, &discovery, &settings);
         let client = W::client(address);
         let (ends, taken_on) = (Vec::new(), Vec::new());
-        Rig { program, address, discovery, client, providers: stand_ins, folder, settings, ends, taken_on }
+        Rig {
+            program,
+            address,
+            other,
+            discovery,
+            client,
+            providers: stand_ins,
+            folder,
+            settings,
+            ends,
+            taken_on,
+        }
     }
 
     /// Starts the program again on the folder that it left.
     pub fn start_again(&mut self) {
-        (self.program, self.address) = begin::<W>(&self.folder, &self.discovery, &self.settings);
+        (self.program, [self.address, self.other]) =
+            begin::<W>(&self.folder, &self.discovery, &self.settings);
         self.client = W::client(self.address);
     }
 
     /// The same, and no file may grow beyond so many bytes.
     pub fn start_bounded(&mut self, bytes: u64) {
         let file = config(&self.folder, &self.discovery, &self.settings);
-        (self.program, self.address) = ready::<W>(Program::start_bounded(&file, bytes), &self.discovery);
+        (self.program, [self.address, self.other]) =
+            ready::<W>(Program::start_bounded(&file, bytes), &self.discovery);
         self.client = W::client(self.address);
     }
 
@@ -359,21 +374,23 @@
     )
 }
 
-fn begin<W: Wire>(folder: &TempDir, discovery: &Discovery, settings: &str) -> (Program, SocketAddr) {
+fn begin<W: Wire>(folder: &TempDir, discovery: &Discovery, settings: &str) -> (Program, [SocketAddr; 2]) {
     let file = config(folder, discovery, settings);
     ready::<W>(Program::start(&file), discovery)
 }
 
 /// Waits until a program listens and has its list.
-fn ready<W: Wire>(mut program: Program, discovery: &Discovery) -> (Program, SocketAddr) {
-    let ports = [program.port("platform"), program.port("mqtt")];
-    let address = ports[usize::from(W::PORT == "mqtt")];
+fn ready<W: Wire>(mut program: Program, discovery: &Discovery) -> (Program, [SocketAddr; 2]) {
+    let mut ports = [program.port("platform"), program.port("mqtt")];
+    if W::PORT == "mqtt" {
+        ports.reverse();
+    }
     // Its list is there once it has been told.
     let listed = discovery.whole()["targets"].as_array().map_or(0, Vec::len);
     for _ in 0..listed {
         program.says("directory: provider");
     }
-    (program, address)
+    (program, ports)
 }
 
 fn config(folder: &TempDir, discovery: &Discovery, settings: &str) -> PathBuf {
--- a/tests/sockets/scenarios.rs
+++ b/tests/sockets/scenarios.rs
@@ -266,3 +266,21 @@
     let all: Vec<&str> = held.iter().map(String::as_str).chain(["first", "last"]).collect();
     rig.finish(&all);
 }
+
+pub fn one_client_does_not_fill_the_room<W: Wire>() {
+    let text = format!("[door]\nclient_share = 0.1\n{}", settings(20));
+    let mut rig = Rig::<W>::start_by(&[("p", "a")], text);
+    for id in ["m1", "m2"] {
+        rig.take_on(&message(id));
+    }
+    let Heard::Rejected(wait) = rig.hand_in(&message("m3")) else { panic!("not rejected") };
+    assert!(wait >= 100 * MS, "{wait:?}");
+    rig.call().answer(Answer::Delivered);
+    rig.call().answer(Answer::Delivered);
+    for id in ["m1", "m2"] {
+        rig.program.says(&format!("{id}: p Ok"));
+    }
+    rig.take_on(&message("m3"));
+    rig.call().answer(Answer::Delivered);
+    rig.finish(&["m1", "m2", "m3"]);
+}
