--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -3,7 +3,7 @@
 
 use raildeal::core::journal::{Account, Journal, Record, Sent, Setup};
 use raildeal::core::{journal_v1 as v1, unix_ms, Envelope, Verdict};
-use raildeal::store::log::Refused;
+use raildeal::store::log::{Refused, DESCRIPTORS};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -211,6 +211,29 @@
     assert_eq!(open(&folder, limit).1.len(), kept);
 }
 
+#[test]
+fn many_segments_take_few_descriptors() {
+    let folder = TempDir::new().expect("a folder");
+    let held = |folder: &TempDir| {
+        let links = fs::read_dir("/proc/self/fd")
+            .expect("a process")
+            .filter_map(|f| fs::read_link(f.ok()?.path()).ok());
+        links.filter(|to| to.starts_with(folder.path())).count()
+    };
+    let (journal, _) = open(&folder, 3_000_000);
+    let mut records: Vec<_> =
+        (0..300).map(|i| journal.take_on(envelope(&format!("m{i}"), 3_000), LEFT).expect("room")).collect();
+    for _ in 0..300 {
+        records.remove(0).close().expect("written");
+        records.push(journal.take_on(envelope("n", 3_000), LEFT).expect("room"));
+    }
+    let files = fs::read_dir(folder.path()).expect("a folder").count();
+    assert!(files > DESCRIPTORS + 4 && held(&folder) <= DESCRIPTORS, "{} of {files}", held(&folder));
+    drop((journal, records));
+    let (_journal, records) = open(&folder, 3_000_000);
+    assert!(records.len() == 300 && held(&folder) <= DESCRIPTORS, "{} after a start", held(&folder));
+}
+
 #[test]
 fn a_folder_serves_one_process_and_one_form() {
     let folder = TempDir::new().expect("a folder");
