Give what comes of a sync one place, and drop what nobody calls

Read over once more: the sync on the store's thread and the one at the process's end handled success and failure in two copies; was_synced serves both.

--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -8,7 +8,7 @@
 use super::wheel::Wheel;
 use super::{journal_v1 as v1, unix_ms, Envelope, Verdict};
 use crate::store::disk::{Disk, Folder};
-use crate::store::log::{Done, Items, Legacy, Log, Options, Refused};
+use crate::store::log::{Done, Items, Legacy, Log, Options, Refused, Unsynced};
 use crate::store::plan::{Turned, View};
 use crate::store::recover::Replay;
 use crate::store::worker::Worker;
@@ -428,11 +428,6 @@
         self.book.borrow().log.door().come_back()
     }
 
-    /// Whether nothing new is taken on now.
-    pub fn is_shut(&self) -> bool {
-        self.book.borrow().log.door().is_shut().is_some()
-    }
-
     /// Keeps the store clean and writes what could not be written before; runs for ever.
     pub async fn tend(self: Rc<Self>, wheel: Rc<Wheel>) {
         loop {
@@ -481,17 +476,9 @@
                 Ok(synced) => synced,
                 Err(e) => return log::error!("store: {e}"),
             };
-            match result {
-                Ok(()) => {
-                    self.synced.set(unsynced.position);
-                    self.book.borrow_mut().log.is_synced(&unsynced);
-                }
-                Err(e) => {
-                    log::error!("store: sync: {e}; what it was for is written again elsewhere");
-                    self.failures.set(self.failures.get() + 1);
-                    tell(self.book.borrow_mut().log.sync_failed((self.time)(), unsynced));
-                    async_io::Timer::after(AGAIN).await;
-                }
+            if let Err(e) = self.was_synced(result, unsynced) {
+                log::error!("store: sync: {e}; what it was for is written again elsewhere");
+                async_io::Timer::after(AGAIN).await;
             }
             self.reached.notify(usize::MAX);
         }
@@ -503,14 +490,23 @@
             return Ok(());
         }
         let unsynced = self.book.borrow_mut().log.unsynced();
-        if let Err(e) = unsynced.sync() {
-            self.failures.set(self.failures.get() + 1);
-            tell(self.book.borrow_mut().log.sync_failed((self.time)(), unsynced));
-            return Err(e);
+        self.was_synced(unsynced.sync(), unsynced)
+    }
+
+    /// What came of a sync.
+    fn was_synced(&self, result: io::Result<()>, unsynced: Unsynced) -> io::Result<()> {
+        let log = &mut self.book.borrow_mut().log;
+        match &result {
+            Ok(()) => {
+                self.synced.set(unsynced.position);
+                log.is_synced(&unsynced);
+            }
+            Err(_) => {
+                self.failures.set(self.failures.get() + 1);
+                tell(log.sync_failed((self.time)(), unsynced));
+            }
         }
-        self.synced.set(unsynced.position);
-        self.book.borrow_mut().log.is_synced(&unsynced);
-        Ok(())
+        result
     }
 
     /// What the store has done so far.
--- a/src/door/messages.rs
+++ b/src/door/messages.rs
@@ -134,11 +134,6 @@
         self.look(now);
     }
 
-    /// Messages that may be held for now.
-    pub fn limit(&self) -> usize {
-        self.limit as usize
-    }
-
     /// Messages held, and clients who have some.
     pub fn held(&self) -> (usize, usize) {
         (self.all, self.held.len())
--- a/src/store/faulty.rs
+++ b/src/store/faulty.rs
@@ -29,7 +29,6 @@
     faults: BTreeMap<u64, Fault>,
     dead: bool,
     quota: Option<u64>,
-    writes: u64,
     /// Bytes that were written, for write amplification.
     written: u64,
 }
@@ -187,7 +186,6 @@
             Some(Fault::Torn(n)) => bytes.len() * usize::from(n.min(16)) / 16,
             _ => bytes.len(),
         };
-        state.writes += 1;
         state.written += n as u64;
         let file = state.files.get_mut(&self.name).ok_or(io::ErrorKind::NotFound)?;
         let at = at as usize;
--- a/src/store/plan.rs
+++ b/src/store/plan.rs
@@ -216,11 +216,6 @@
         self.close(Why::Fault, now).1
     }
 
-    /// Whether the door is shut, and why.
-    pub fn is_shut(&self) -> Option<Why> {
-        self.shut.map(|(why, _)| why)
-    }
-
     /// When it makes sense to come back.
     pub fn come_back(&self) -> Duration {
         REST
