Let each of many senders open at its part of the listed rate and draw lots among siblings

Ruled out: processor (at most 0.02 s in any second of a sender, by the report) and untold waits as such (those told end with the window). Not ruled out: listed rates, which stand at 0.46 to 1.74 of the most that was taken.

At fault: a gate's pace was infinite until the first refusal (Gate::new), the first refusal of a sender that calls rarely cut nothing (learn, `row > 1 && crowd > CROWD`), and choose() took the route of least cost, which is the same one for all.

Now src/fleet.rs, free of I/O: from ten senders on a gate opens at the sender's even part of the listed rate, with a drawn part of a call saved up, a refusal leaves 0.6 of the pace, a taken call adds 5 in 100, what was lost comes back within some 20 s; among open siblings one is drawn by listed rate.

--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,103 @@
+//! What follows from being one sender of very many: its part of a listed rate, and how it chooses among routes.
+//!
+//! A sender that makes few of the calls that a route gets can't learn from its own calls what the others do: each sees a
+//! call now and then, and all of them together are over a limit before one has seen two refusals. So it keeps to its part
+//! of the listed rate from the first call on, and takes siblings by lot rather than all the same one. No I/O, no clock; the
+//! caller brings time and randomness.
+
+/// Senders from which on one sees too little of a route: its own calls are under a tenth of those that the route gets.
+const MANY: u32 = 10;
+/// Least part, in calls a second: a fleet that is said to be far larger than it is slows a sender and never stops it.
+const LEAST_PART: f64 = 1.0 / 60.0;
+/// Part that comes back each second of what refusals took: in some 20 s, as the waits of few calls tell little.
+const BACK: f64 = 0.05;
+/// What a call that is taken adds and a refusal leaves. One refusal in eleven calls holds a pace where it is.
+const GROW: f64 = 1.05;
+const CUT: f64 = 0.6;
+/// A rough rate may be half too high or too low: a limit is at most twice what is listed.
+const MOST: f64 = 2.0;
+/// A pace never falls under this part of the sender's own, or it would learn of no recovery.
+const LEAST: f64 = 0.05;
+
+/// One sender's part of what a route, or a destination whose endpoints share a limit, takes from all senders.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    /// Calls a second.
+    rate: f64,
+}
+
+impl Part {
+    /// The even part of a listed rate (calls a second). None where there are few senders, who learn by themselves, or where
+    /// nothing useful is listed.
+    pub fn of(listed: f64, relays: u32) -> Option<Self> {
+        let told = relays >= MANY && listed > 0.0 && listed.is_finite();
+        told.then(|| Part { rate: (listed / f64::from(relays)).max(LEAST_PART) })
+    }
+
+    /// The pace to begin with, in calls a second.
+    pub fn opening(self) -> f64 {
+        self.rate
+    }
+
+    /// The pace after `dt` seconds: what refusals took from the part comes back.
+    pub fn rested(self, pace: f64, dt: f64) -> f64 {
+        if pace < self.rate {
+            (pace + BACK * self.rate * dt).min(self.rate)
+        } else {
+            pace
+        }
+    }
+
+    /// The pace after a call that was taken.
+    pub fn taken(self, pace: f64) -> f64 {
+        (pace * GROW).min(MOST * self.rate)
+    }
+
+    /// The pace after a refusal.
+    pub fn refused(self, pace: f64) -> f64 {
+        (pace * CUT).max(LEAST * self.rate)
+    }
+}
+
+/// The place of a route in a lottery: the smallest wins, each as often as its weight is part of all weights. `draw` is
+/// evenly from 0 to 1, a weight of 0 or less comes last.
+pub fn lot(weight: f64, draw: f64) -> f64 {
+    -(1.0 - draw).max(f64::MIN_POSITIVE).ln() / weight.max(f64::MIN_POSITIVE)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn few_senders_and_useless_lists_have_no_part() {
+        assert_eq!(Part::of(50.0, 3), None);
+        for listed in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+            assert_eq!(Part::of(listed, 100), None, "{listed}");
+        }
+    }
+
+    #[test]
+    fn a_fleet_opens_at_what_is_listed_and_one_said_to_be_huge_still_moves() {
+        let part = Part::of(50.0, 100).expect("many");
+        assert!((part.opening() * 100.0 - 50.0).abs() < 1e-9);
+        assert!(Part::of(1.0, u32::MAX).expect("many").opening() >= LEAST_PART);
+    }
+
+    #[test]
+    fn a_pace_falls_by_refusals_comes_back_by_itself_and_stays_in_bounds() {
+        let part = Part::of(50.0, 100).expect("many");
+        let low = (0..50).fold(part.opening(), |pace, _| part.refused(pace));
+        assert!(low > 0.0 && low < 0.1 * part.opening());
+        assert_eq!(part.rested(low, 60.0), part.opening());
+        let high = (0..500).fold(part.opening(), |pace, _| part.taken(pace));
+        assert!(high <= 2.0 * part.opening() && part.rested(high, 60.0) == high);
+    }
+
+    #[test]
+    fn lots_fall_by_weight() {
+        let mut random = crate::state::Random::new(7);
+        let wins = (0..10_000).filter(|_| lot(3.0, random.draw()) < lot(1.0, random.draw())).count();
+        assert!((7_300..7_700).contains(&wins), "{wins}");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod core;
 pub mod door;
+pub mod fleet;
 pub mod interface;
 pub mod net;
 pub mod policy;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,7 @@
 //! Ordinary path (the post's dispatcher): a [`Dispatcher`] per destination serves one line, pauses all sends
 //! for the longest told wait, sends refused calls again first, bounds calls by a pool; `docs/design.md`.
 
+use crate::fleet::{lot, Part};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -106,6 +107,12 @@
         Gate { pace, accepted, at: now, last_ok: now, budget: 1.0, budget_at: now, ..Gate::default() }
     }
 
+    /// One of many senders begins at its part, with a part of a call saved up: all begin at the same moment.
+    fn open(&mut self, now: Time, part: Option<Part>, saved: f64) {
+        let Some(p) = part.filter(|_| self.pace.is_infinite()) else { return };
+        (self.part, self.pace, self.tokens, self.at) = (part, p.opening(), saved, now);
+    }
+
     fn until(&self) -> Time {
         self.told_until.max(self.own_until)
     }
@@ -114,7 +121,8 @@
         let dt = to_secs(now.saturating_sub(self.at));
         self.at = self.at.max(now);
         if self.pace.is_finite() {
-            self.pace += PACE_CREEP * self.known(now) * dt;
+            let crept = self.pace + PACE_CREEP * self.known(now) * dt;
+            self.pace = self.part.map_or(crept, |p| p.rested(self.pace, dt));
             self.tokens = (self.tokens + self.pace * dt).min((self.pace * 0.35).max(1.0));
         }
     }
@@ -130,7 +138,8 @@
         self.proven = self.proven.saturating_add(1);
         self.accepted.hit(now, RATE);
         let growth = mix(self.known(now), GROWTH.0, GROWTH.1);
-        self.pace *= 1.0 + growth * to_secs(now.saturating_sub(self.last_ok)).min(1.0);
+        let grown = self.pace * (1.0 + growth * to_secs(now.saturating_sub(self.last_ok)).min(1.0));
+        self.pace = self.part.map_or(grown, |p| p.taken(self.pace));
         (self.last_ok, self.refusals) = (now, 0);
     }
 }
@@ -580,13 +589,17 @@
         told.filter(|&(left, limit)| left >= 0.0 && limit > 0.0 && limit.is_finite())
     }
 
+    /// What the list says that an endpoint takes from all relays, 0 where it tells nothing.
+    fn listed(&self, e: &Endpoint) -> f64 {
+        let told = self.hosts.get(e).filter(|_| self.s.listed != ListedRates::Silent);
+        told.map_or(0.0, |h| h.listed)
+    }
+
     /// This relay's even part of a known limit: as reported, else as listed.
     fn fair(&mut self, dest: DestId, e: &Endpoint) -> Option<f64> {
         let trust = if self.s.listed == ListedRates::Rough { ROUGH } else { 1.0 };
-        let told = self.hosts.get(e).filter(|_| self.s.listed != ListedRates::Silent);
-        let listed = told.map(|h| h.listed * trust);
-        let limits = [Some(self.gate(dest, e).limit), listed];
-        let limit = limits.into_iter().flatten().find(|l| *l > 0.0 && l.is_finite());
+        let limits = [self.gate(dest, e).limit, self.listed(e) * trust];
+        let limit = limits.into_iter().find(|l| *l > 0.0 && l.is_finite());
         limit.map(|l| l / f64::from(self.s.relays.max(1)))
     }
 
@@ -648,7 +661,12 @@
                 let warm = to_secs(self.s.warm_after);
                 let g = self.gate(dest, &e);
                 g.refill(now);
-                if sent >= g.cut_at && (spent || row > 1 && crowd > CROWD || known > RARE) {
+                if let Some(part) = g.part.filter(|_| sent >= g.cut_at) {
+                    (g.pace, g.tokens) = (part.refused(g.pace), g.tokens.min(RESUME_TOKENS));
+                } else if g.part.is_none()
+                    && sent >= g.cut_at
+                    && (spent || row > 1 && crowd > CROWD || known > RARE)
+                {
                     let part = fair.map_or(PACE_LEAST * demand, |f| (JAM.0 * f).max(JAM.1 * demand));
                     let cut = if spent { part } else { PACE_CUT * g.pace.min(demand) };
                     let most = mix(known, g.accepted.rate(now).min(0.8 * g.pace), cut);
@@ -758,7 +776,11 @@
             }
             let cold = h.health != Health::Well;
             let (budget, rate) = if cold { self.budget(now, dest, &e) } else { (1.0, 1.0) };
+            let listed = self.listed(&e);
+            let part = Part::of(listed, self.s.relays);
+            let draw = part.map_or(0.0, |_| self.random.draw());
             let gate = self.gate(dest, &e);
+            gate.open(now, part, draw);
             let (known, refusals) = (gate.known(now), f64::from(gate.refusals));
             gate.refill(now);
             let mut from = gate.until();
@@ -783,7 +805,12 @@
             let last = if trial { TRIAL_LAST } else { 0.0 };
             let doubt = (1.0 + 3.0 * h.fails) * (1.0 + refusals);
             let latency = if h.base > 0.0 { h.latency } else { usual } * mix(known, 1.0, h.taste) * doubt;
-            let cost = last + (f64::from(h.calls) + 1.0) * latency + FEE * self.fee(h);
+            let cost = match part {
+                // All would take the same one: each sees but its own few calls.
+                Some(_) => lot(listed / (1.0 + refusals), draw),
+                None => (f64::from(h.calls) + 1.0) * latency + FEE * self.fee(h),
+            };
+            let cost = last + cost;
             if best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, e, trial));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a relay keeps in mind, and plain helpers. No decision and no tuned number is here: `src/policy.rs` has them.
 
+use crate::fleet::Part;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -57,6 +58,8 @@
     pub own_until: Time,
     /// Calls a second that the destination takes from this relay, once a refusal has shown a bound.
     pub pace: f64,
+    /// This relay's part of what is listed, where it is one of many: bounds the pace from the first call on.
+    pub part: Option<Part>,
     pub tokens: f64,
     pub accepted: Meter,
     pub at: Time,
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,155 @@
+//! Many senders on the same routes, each the real module: what is harmless from one must not be harmful from all.
+
+mod common;
+
+use common::{settings, MS, SEC};
+use raildeal::*;
+use std::collections::BTreeMap;
+
+/// Time that a call takes.
+const CALL: Time = 200 * MS;
+/// Step of the model.
+const STEP: Time = 10 * MS;
+/// Span in which a route counts its calls.
+const WINDOW: Time = 2 * SEC;
+
+/// A route that takes so many calls in each window. Those that it refuses are taken off the next window, down to a half.
+struct Route {
+    limit: u32,
+    left: u32,
+    taken: Vec<u32>,
+    refused: Vec<u32>,
+}
+
+struct Fleet {
+    relays: Vec<Relay>,
+    now: Time,
+    routes: BTreeMap<Endpoint, Route>,
+    /// Calls out: when each ends, whose it is, and how.
+    out: BTreeMap<(Time, usize, MessageId), Outcome>,
+    attempts: BTreeMap<(usize, MessageId), u16>,
+    delivered: u32,
+    next: MessageId,
+}
+
+impl Fleet {
+    /// So many relays, each with its own seed, and routes of destination 1 with what the list says of each and its limit
+    /// in calls a second.
+    fn new(relays: u32, routes: &[(u8, f32, f64)]) -> Self {
+        let of_fleet = Settings { relays, listed: ListedRates::Rough, slots: 5, room: 86, ..settings() };
+        let line =
+            |&(n, rate, _): &(u8, f32, f64)| Listing { rate, ..common::line(n, 1, 2, Condition::Ready) };
+        let list: Vec<Listing> = routes.iter().map(line).collect();
+        let now = 5 * SEC;
+        let relays = (0..relays).map(|i| {
+            let mut relay = Relay::new(of_fleet.clone(), 1000 + u64::from(i)).expect("usable settings");
+            relay.handle(now, &[Event::CachedList(list.clone())], &mut Vec::new());
+            relay
+        });
+        let route = |&(n, _, limit): &(u8, f32, f64)| {
+            let limit = (limit * 2.0) as u32;
+            (common::at(n), Route { limit, left: limit, taken: vec![0], refused: vec![0] })
+        };
+        let routes = routes.iter().map(route).collect();
+        Fleet {
+            relays: relays.collect(),
+            now,
+            routes,
+            out: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            delivered: 0,
+            next: 0,
+        }
+    }
+
+    fn give(&mut self, relay: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.relays[relay].handle(self.now, &[event], &mut actions);
+        for a in actions {
+            let Action::Send { id, endpoint, .. } = a else { continue };
+            *self.attempts.entry((relay, id)).or_insert(0) += 1;
+            let route = self.routes.get_mut(&endpoint).expect("listed");
+            let (taken, refused) = (route.taken.last_mut(), route.refused.last_mut());
+            let (end, outcome) = if route.left > 0 {
+                route.left -= 1;
+                *taken.expect("a window") += 1;
+                (self.now + CALL, Outcome::Ok)
+            } else {
+                *refused.expect("a window") += 1;
+                (self.now + STEP, Outcome::Full { wait: 0 })
+            };
+            self.out.insert((end, relay, id), outcome);
+        }
+    }
+
+    /// Hands one message to a relay.
+    fn arrive(&mut self, relay: usize) {
+        self.next += 1;
+        let m = Message { id: self.next, tenant: 0, class: 1, key: 0, ttl: 12 * SEC, dest: 1 };
+        self.give(relay, Event::Arrived(m));
+    }
+
+    /// Lets a window pass, with so many messages a second arriving at relays in turn.
+    fn window(&mut self, rate: f64) {
+        let (end, start) = (self.now + WINDOW, self.now);
+        let mut came = 0;
+        while self.now < end {
+            self.now += STEP;
+            while f64::from(came) < (self.now - start) as f64 / SEC as f64 * rate {
+                came += 1;
+                self.arrive((self.next as usize * 37) % self.relays.len());
+            }
+            while let Some((&(at, relay, id), &outcome)) =
+                self.out.first_key_value().filter(|(k, _)| k.0 <= self.now)
+            {
+                self.out.remove(&(at, relay, id));
+                let finished = outcome == Outcome::Ok;
+                self.delivered += u32::from(finished);
+                let attempt = self.attempts[&(relay, id)] - 1;
+                let took = if finished { CALL } else { STEP };
+                self.give(relay, Event::Ended { id, attempt, outcome, took, finished, report: Vec::new() });
+            }
+            for relay in 0..self.relays.len() {
+                self.give(relay, Event::Woken);
+            }
+        }
+        for r in self.routes.values_mut() {
+            r.left = (r.limit / 2).max(r.limit.saturating_sub(*r.refused.last().expect("a window")));
+            r.taken.push(0);
+            r.refused.push(0);
+        }
+    }
+
+    fn refused(&self) -> u32 {
+        self.routes.values().flat_map(|r| &r.refused).sum()
+    }
+}
+
+#[test]
+fn a_fleet_that_starts_spreads_over_siblings_as_listed() {
+    let mut fleet = Fleet::new(100, &[(1, 30.0, 30.0), (2, 10.0, 10.0)]);
+    for _ in 0..3 {
+        fleet.window(25.0);
+    }
+    let taken: Vec<u32> = fleet.routes.values().map(|r| r.taken.iter().sum()).collect();
+    let part = f64::from(taken[0]) / f64::from(taken[0] + taken[1]);
+    assert!((0.6..0.85).contains(&part), "{taken:?}");
+    assert_eq!(fleet.refused(), 0);
+}
+
+#[test]
+fn a_clump_does_not_jam_a_route_for_long() {
+    let mut fleet = Fleet::new(100, &[(1, 30.0, 25.0), (2, 20.0, 22.0)]);
+    fleet.window(25.0);
+    // Three seconds' worth of the limit at once, on top of what comes anyway.
+    for relay in 0..141 {
+        fleet.arrive(relay % 100);
+    }
+    for _ in 0..6 {
+        fleet.window(25.0);
+    }
+    let last = |of: fn(&Route) -> &Vec<u32>| -> u32 { fleet.routes.values().map(|r| of(r)[6]).sum() };
+    assert!(last(|r| &r.refused) < 10, "still refused 10 s later: {}", last(|r| &r.refused));
+    assert!(fleet.refused() < 141, "refused {}", fleet.refused());
+    assert!(fleet.delivered > 450, "delivered {} of 491", fleet.delivered);
+}
