Take a connection turned away for crowding only where the endpoint answers soon after

At fault: connected() counted every failed connection to a well endpoint as a sign that its kind is out of connections. From the first on all idle connections of that kind were closed after each call, for 20 s.

Now it counts where the next call there is answered within a trial's longest gap; a second failure in a row takes it back.

--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -238,6 +238,12 @@
         }
     };
     drop((ticket, guest));
+    log::debug!(
+        "{}: dest {} {verdict:?}, {:?} left",
+        envelope.id,
+        envelope.dest,
+        deadline.saturating_duration_since(Instant::now())
+    );
     house.write_down(&record, verdict, deadline).await;
     if let Some(hook) = &house.hook {
         hook.final_answer(&envelope, house.class(&envelope), verdict);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -561,11 +561,13 @@
     }
 
     /// Some endpoints take few connections, idle ones counted, held by hundreds of relays: where a kind's
-    /// well endpoints turn connections away, none is kept idle there. Costs handshakes while it lasts.
+    /// endpoints turn connections away and answer soon after, none is kept idle there. Costs handshakes while
+    /// it lasts; one that is down turns them away too, but does not answer.
     fn connected(&mut self, now: Time, e: Endpoint, outcome: Outcome) {
-        let Some(h) = self.hosts.get(&e) else { return };
-        let (kind, free, failed) =
-            (h.kind, h.calls == 0, h.health == Health::Well && outcome == Outcome::ConnectFailed);
+        let Some(h) = self.hosts.get_mut(&e) else { return };
+        let (kind, free, turned) = (h.kind, h.calls == 0, h.turned_at.take());
+        h.turned_at = (outcome == Outcome::ConnectFailed && h.streak == 0).then_some(now);
+        let failed = outcome == Outcome::Ok && turned.is_some_and(|t| now < t + TRIAL_GAPS.1);
         let was = self.lore[kind].crowded.level(now);
         let level = (was + f64::from(u8::from(failed))).min(CROWDED.1);
         self.lore[kind].crowded = Reaper { level, at: now };
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,8 @@
     pub calls: u32,
     /// When a call here last ended; its connection is idle since.
     pub used_at: Option<Time>,
+    /// When a connection failed here, where the next call will tell whether it was down.
+    pub turned_at: Option<Time>,
     /// A call got lost here: the next goes on a new connection.
     pub doubt_link: bool,
 }
