--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -153,3 +153,15 @@
     assert!(fleet.refused() < 141, "refused {}", fleet.refused());
     assert!(fleet.delivered > 450, "delivered {} of 491", fleet.delivered);
 }
+
+#[test]
+fn a_route_that_takes_far_less_than_listed_is_not_called_in_vain_for_long() {
+    let mut fleet = Fleet::new(100, &[(1, 50.0, 30.0)]);
+    for _ in 0..12 {
+        fleet.window(40.0);
+    }
+    let route = &fleet.routes[&common::at(1)];
+    let late = |of: &[u32]| -> u32 { of[6..12].iter().sum() };
+    let (taken, refused) = (late(&route.taken), late(&route.refused));
+    assert!(f64::from(refused) < 0.2 * f64::from(taken), "{refused} refused, {taken} taken");
+}
