--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,12 +5,12 @@
 //! of the listed rate from the first call on, and takes siblings by lot rather than all the same one. No I/O, no clock; the
 //! caller brings time and randomness.
 
-/// Senders from which on one sees too little of a route: its own calls are under a tenth of those that the route gets.
+/// Senders from which on one sees too little of a route: its own calls are a tenth or less of those that the route gets.
 const MANY: u32 = 10;
 /// Least part, in calls a second: a fleet that is said to be far larger than it is slows a sender and never stops it.
 const LEAST_PART: f64 = 1.0 / 60.0;
-/// Part that comes back each second of what refusals took. A call comes every few seconds: much more than a twentieth in
-/// between, as a taken call gives, and refusals would no longer hold a pace down.
+/// Part that comes back each second of what refusals took. A call comes every few seconds: with much more in between, refusals
+/// would no longer hold a pace down.
 const BACK: f64 = 0.02;
 /// What a call that is taken adds and a refusal leaves. One refusal in 24 calls holds a pace where it is.
 const GROW: f64 = 1.03;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -663,17 +663,17 @@
                 let warm = to_secs(self.s.warm_after);
                 let g = self.gate(dest, &e);
                 g.refill(now);
-                if let Some(part) = g.part.filter(|_| sent >= g.cut_at) {
-                    (g.pace, g.tokens) = (part.refused(g.pace), g.tokens.min(RESUME_TOKENS));
-                } else if g.part.is_none()
-                    && sent >= g.cut_at
-                    && (spent || row > 1 && crowd > CROWD || known > RARE)
-                {
-                    let part = fair.map_or(PACE_LEAST * demand, |f| (JAM.0 * f).max(JAM.1 * demand));
-                    let cut = if spent { part } else { PACE_CUT * g.pace.min(demand) };
-                    let most = mix(known, g.accepted.rate(now).min(0.8 * g.pace), cut);
-                    g.pace = most.max((1.0 - known) * part);
-                    g.tokens = g.tokens.min(RESUME_TOKENS);
+                match g.part {
+                    _ if sent < g.cut_at => {}
+                    Some(part) => (g.pace, g.tokens) = (part.refused(g.pace), g.tokens.min(RESUME_TOKENS)),
+                    None if spent || row > 1 && crowd > CROWD || known > RARE => {
+                        let part = fair.map_or(PACE_LEAST * demand, |f| (JAM.0 * f).max(JAM.1 * demand));
+                        let cut = if spent { part } else { PACE_CUT * g.pace.min(demand) };
+                        let most = mix(known, g.accepted.rate(now).min(0.8 * g.pace), cut);
+                        g.pace = most.max((1.0 - known) * part);
+                        g.tokens = g.tokens.min(RESUME_TOKENS);
+                    }
+                    None => {}
                 }
                 g.cut_at = now;
                 let mut until = now;
@@ -805,12 +805,14 @@
                 continue;
             }
             let last = if trial { TRIAL_LAST } else { 0.0 };
-            let doubt = (1.0 + 3.0 * h.fails) * (1.0 + refusals);
-            let latency = if h.base > 0.0 { h.latency } else { usual } * mix(known, 1.0, h.taste) * doubt;
-            let cost = match part {
+            let cost = if part.is_some() {
                 // All would take the same one: each sees but its own few calls.
-                Some(_) => lot(listed / (1.0 + refusals), draw),
-                None => (f64::from(h.calls) + 1.0) * latency + FEE * self.fee(h),
+                lot(listed / (1.0 + refusals), draw)
+            } else {
+                let doubt = (1.0 + 3.0 * h.fails) * (1.0 + refusals);
+                let latency = if h.base > 0.0 { h.latency } else { usual };
+                let latency = latency * mix(known, 1.0, h.taste) * doubt;
+                (f64::from(h.calls) + 1.0) * latency + FEE * self.fee(h)
             };
             let cost = last + cost;
             if best.is_none_or(|b| cost < b.0) {
