Keep a quarter of a second for a final answer to travel

Ruled out: a message forgotten by a sender (no warning and no notice sent again in any of the 100 logs) and an answer given after its time (the least left was 92 ms). A call that begins with so little left ends late in most cases as it is. Change: 250 ms.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -74,7 +74,7 @@
 const TRIAL_LAST: f64 = 100.0;
 const LOG_LINES: u32 = 150;
 /// Time kept for the answer to travel: a message with less left is given up.
-const LAST_CALL: Time = 120 * MS;
+const LAST_CALL: Time = 250 * MS;
 
 impl Host {
     fn new(l: &Listing, now: Time) -> Self {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -962,3 +962,15 @@
     }
     assert!(!d.seen.iter().any(|a| matches!(a, Action::CloseIdle { .. })), "{:?}", d.seen);
 }
+
+#[test]
+fn a_message_that_nobody_takes_is_given_up_a_quarter_of_a_second_before_its_time() {
+    let mut d = Driver::new(settings(), vec![]);
+    d.arrive(1, 0, 1);
+    let over = d.now + d.message(1, 0, 1).ttl;
+    while refused(&d.seen).is_empty() && d.now < over {
+        d.pass(5 * MS);
+    }
+    assert_eq!(refused(&d.seen).len(), 1);
+    assert!((240 * MS..=260 * MS).contains(&(over - d.now)), "{} ms left", (over - d.now) / MS);
+}
