Spread asks for the list over the fleet, at the start and after a failure

Once asks were few (27 s on) eight senders were told every 0.45 s: about 55 ms each. Ruled out: the pace (those that knew an endpoint called it at more than its listed part) and the budget for cold endpoints (a print in the module at each wait: tokens before budget four to one). At fault: `Event::ListFailed` in src/policy.rs, 0.5 to 4 s for every sender without any jitter, and `watch_at` of 0 at the start. Discovery takes calls one after another and works on those that have been told 503 as well, so that a hundred in step get nothing. Change: `fleet::ask_in`. Few senders ask as before.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -20,6 +20,23 @@
 /// A pace never falls under this part of the sender's own, or it would learn of no recovery.
 const LEAST: f64 = 0.05;
 
+/// Time that the directory spends on one sender that asks: it serves them one after another (55 ms seen).
+const ASK: f64 = 0.06;
+/// Part of the longest time without asking that a pause before the next ask may take: the ask itself waits its turn.
+const ASK_MOST: f64 = 0.6;
+
+/// Seconds until one of many asks for the list (again): so spread that the directory can serve all of them one after
+/// another, though all lost it, or started, at the same moment. `gap` (s) is what one of few would wait, `within` the
+/// longest time without asking (s; 0: no bound), `draw` gives a number evenly from 0 to 1.
+pub fn ask_in(gap: f64, relays: u32, within: f64, draw: impl FnOnce() -> f64) -> f64 {
+    if relays < MANY {
+        return gap;
+    }
+    let most = if within > 0.0 { ASK_MOST * within } else { f64::MAX };
+    let span = (f64::from(relays) * ASK).min(most);
+    (gap + draw() * span).min(most)
+}
+
 /// One sender's part of what a route, or a destination whose endpoints share a limit, takes from all senders.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
@@ -95,6 +112,18 @@
         assert!(high <= 2.0 * part.opening() && part.rested(high, 60.0) == high);
     }
 
+    #[test]
+    fn many_ask_one_after_another_within_the_time_they_have_and_few_as_before() {
+        assert_eq!(ask_in(0.5, 3, 10.0, || unreachable!("few draw nothing")), 0.5);
+        let mut random = crate::state::Random::new(7);
+        let mut asks: Vec<f64> = (0..100).map(|_| ask_in(0.5, 100, 10.0, || random.draw())).collect();
+        asks.sort_by(f64::total_cmp);
+        assert!(asks[0] >= 0.5 && asks[99] <= 6.0, "{asks:?}");
+        let most = (0..100).map(|i| asks[i..].iter().take_while(|a| **a < asks[i] + 1.0).count()).max();
+        assert!(most <= Some(30), "{most:?} in a second");
+        assert!(ask_in(4.0, 10_000, 10.0, || 1.0) <= 6.0 && ask_in(4.0, 10_000, 0.0, || 1.0) > 600.0);
+    }
+
     #[test]
     fn lots_fall_by_weight() {
         let mut random = crate::state::Random::new(7);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,6 +136,8 @@
     pub over_share_worth: f64,
     /// The list of endpoints must be asked for; it is not pushed.
     pub ask_list: bool,
+    /// Longest time without asking for it: then its changes count as told (0: no bound).
+    pub ask_within: Time,
     /// Endpoints may be probed.
     pub probes: bool,
     /// Waits told with a refusal reach the client.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,7 +3,7 @@
 //! Ordinary path (the post's dispatcher): a [`Dispatcher`] per destination serves one line, pauses all sends
 //! for the longest told wait, sends refused calls again first, bounds calls by a pool; `docs/design.md`.
 
-use crate::fleet::{lot, Part};
+use crate::fleet::{ask_in, lot, Part};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -204,7 +204,6 @@
         }
         let kinds = settings.kinds.len().max(1);
         Ok(Relay {
-            watch_at: settings.ask_list.then_some(0),
             tenant_rate: vec![Meter::default(); settings.tenants.len()],
             lore: vec![Lore { told: to_secs(OWN_PAUSE), room: 0.5, ..Lore::default() }; kinds],
             s: settings,
@@ -220,6 +219,7 @@
         let now = self.now;
         if self.start == 0 {
             self.start = now;
+            self.watch_at = self.s.ask_list.then_some(now + self.ask_in(0));
             self.tenant_rate.iter_mut().for_each(|t| *t = Meter::new(now, RATE.0));
         }
         for e in events {
@@ -227,7 +227,7 @@
                 Event::List(l) | Event::CachedList(l) => self.list(now, l, true),
                 Event::ListChanges(l) => self.list(now, l, false),
                 Event::ListFailed if self.s.ask_list => {
-                    self.watch_at = Some(now + self.watch_gap);
+                    self.watch_at = Some(now + self.ask_in(self.watch_gap));
                     self.watch_gap = (self.watch_gap * 2).min(4 * SEC);
                 }
                 Event::Arrived(m) => self.arrived(now, *m, Held::default()),
@@ -251,6 +251,12 @@
         out.append(&mut self.out);
     }
 
+    /// Time until the list is asked for, which one of few would do after `gap`.
+    fn ask_in(&mut self, gap: Time) -> Time {
+        let (relays, within) = (self.s.relays, to_secs(self.s.ask_within));
+        secs(ask_in(to_secs(gap), relays, within, || self.random.draw()))
+    }
+
     fn log(&mut self, text: String) {
         if self.logs < LOG_LINES {
             self.logs += 1;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
         decay: Decay::Halving,
         over_share_worth: 0.2,
         ask_list: false,
+        ask_within: 0,
         probes: false,
         tells_clients: true,
         max_retry_after: 30 * SEC,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use common::{settings, MS, SEC};
 use raildeal::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Time that a call takes.
 const CALL: Time = 200 * MS;
@@ -165,3 +165,43 @@
     let (taken, refused) = (late(&route.taken), late(&route.refused));
     assert!(f64::from(refused) < 0.2 * f64::from(taken), "{refused} refused, {taken} taken");
 }
+
+/// A directory that works through asks one after another, also those whose sender has been told that it waited too long.
+#[test]
+fn a_fleet_that_starts_at_once_and_loses_its_watches_at_once_is_told_the_list_soon() {
+    const ASK: Time = 55 * MS;
+    const PATIENCE: Time = 2 * SEC;
+    let asks = Settings { relays: 100, ask_list: true, ask_within: 10 * SEC, ..settings() };
+    let mut relays: Vec<Relay> =
+        (0..100).map(|i| Relay::new(asks.clone(), 1000 + i).expect("usable settings")).collect();
+    let (mut queue, mut free_at) = (VecDeque::<(Time, usize)>::new(), 0);
+    let (mut watches, mut most) = (vec![false; 100], [0, 0]);
+    for (round, begin) in [(0, 5 * SEC), (1, 25 * SEC)] {
+        let mut events: Vec<Vec<Event>> = vec![vec![Event::Woken]; 100];
+        for relay in events.iter_mut().filter(|_| round == 1) {
+            relay.push(Event::ListFailed);
+        }
+        watches.fill(false);
+        for now in (begin..begin + 20 * SEC).step_by(STEP as usize) {
+            for (i, relay) in relays.iter_mut().enumerate() {
+                let mut actions = Vec::new();
+                relay.handle(now, &std::mem::replace(&mut events[i], vec![Event::Woken]), &mut actions);
+                queue.extend(actions.contains(&Action::WatchList).then_some((now, i)));
+            }
+            for (_, i) in queue.iter().filter(|(asked, _)| *asked + PATIENCE == now) {
+                events[*i].push(Event::ListFailed);
+            }
+            while let Some((asked, i)) = queue.front().copied().filter(|_| free_at <= now) {
+                queue.pop_front();
+                free_at = now + ASK;
+                if now < asked + PATIENCE {
+                    events[i].push(Event::ListChanges(Vec::new()));
+                    watches[i] = true;
+                    most[round] = (now - begin) / MS;
+                }
+            }
+        }
+        assert!(watches.iter().all(|w| *w), "{} watch", watches.iter().filter(|w| **w).count());
+    }
+    assert!(most.iter().all(|ms| *ms < 12_000), "the last is told after {most:?} ms");
+}
