Take a partner's return for half as old as the last failure there, where one is of many

Ruled out: pace (the whole part was there) and refusals (none). At fault: `Relay::budget` and `learn` in src/policy.rs. The share that a partner can take counts from the first answer that this sender sees. One of 100 gets one cold call every 5 s at 58 calls a second and every 16 s at 20, so that most had seen nothing and stayed at the cold share, and those that had were seconds behind. Change: `fleet::unseen`. Between a failure and the first answer `dt` later the return may have been at any moment, so that it counts as `dt / 2` old, from ten senders on; before an answer it counts so too, up to the span of an overload, as a partner that is still down is not hurt. Few senders as before.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -37,6 +37,16 @@
     (gap + draw() * span).min(most)
 }
 
+/// Seconds for which a partner that failed a call `dt` seconds ago has probably been back, where one of many has not
+/// called it since: it may have come back at any moment between. One of few would have tried it by then: 0.
+pub fn unseen(dt: f64, relays: u32) -> f64 {
+    if relays < MANY {
+        0.0
+    } else {
+        dt / 2.0
+    }
+}
+
 /// One sender's part of what a route, or a destination whose endpoints share a limit, takes from all senders.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
@@ -124,6 +134,11 @@
         assert!(ask_in(4.0, 10_000, 10.0, || 1.0) <= 6.0 && ask_in(4.0, 10_000, 0.0, || 1.0) > 600.0);
     }
 
+    #[test]
+    fn one_of_many_takes_a_return_for_half_as_old_as_its_last_failure() {
+        assert_eq!((unseen(6.0, 100), unseen(6.0, 3)), (3.0, 0.0));
+    }
+
     #[test]
     fn lots_fall_by_weight() {
         let mut random = crate::state::Random::new(7);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,7 +3,7 @@
 //! Ordinary path (the post's dispatcher): a [`Dispatcher`] per destination serves one line, pauses all sends
 //! for the longest told wait, sends refused calls again first, bounds calls by a pool; `docs/design.md`.
 
-use crate::fleet::{ask_in, lot, Part};
+use crate::fleet::{ask_in, lot, unseen, Part};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -82,6 +82,7 @@
             dest: l.dest,
             zone: l.zone,
             last_ok: now,
+            failed_at: now,
             latency: LATENCY_GUESS,
             spread: LATENCY_GUESS,
             rate: Meter::new(now, RATE.0),
@@ -462,13 +463,15 @@
     fn budget(&mut self, now: Time, dest: DestId, e: &Endpoint) -> (f64, f64) {
         let (gate, fair) = (self.gate_of(e), self.fair(dest, e));
         let (mut rate, span) = (0.0, to_secs(self.s.overload_for).max(0.1));
+        let warmed = |t: f64| t / to_secs(self.s.warm_after).max(0.1);
         let parts = if gate.is_some() { 1 } else { self.dests[&dest].hosts.len() };
         for o in &self.dests[&dest].hosts {
             let h = &self.hosts[o];
             let warm = match h.health {
                 Health::Well => continue,
-                Health::Ramp => to_secs(now - h.since) / to_secs(self.s.warm_after).max(0.1),
-                Health::Sick => 0.0,
+                Health::Ramp => warmed(to_secs(now - h.since)),
+                // Not longer than an overload takes: the more senders, the longer since each of them tried.
+                Health::Sick => warmed(unseen(to_secs(now - h.failed_at), self.s.relays).min(span)),
             };
             if gate.is_none_or(|g| g == *o) {
                 let share = (self.s.cold_share + (1.0 - self.s.cold_share) * warm).min(1.0);
@@ -637,7 +640,8 @@
                 if host.health == Health::Sick {
                     // An outage lasts: a row of failures that ends this soon was chance or a slow spell.
                     host.health = if brief { Health::Well } else { Health::Ramp };
-                    host.since = now;
+                    let back = unseen(to_secs(now - host.failed_at), self.s.relays);
+                    host.since = now - secs(back);
                 } else if now > host.since + self.s.warm_after {
                     host.health = Health::Well;
                 }
@@ -703,6 +707,7 @@
                 // Calls lost while others sent later were answered tell of loss on the way, not of an outage.
                 let alone = host.last_ok <= sent;
                 host.streak += u32::from(alone);
+                host.failed_at = now;
                 host.fails += 0.2 * (1.0 - host.fails);
                 let slower = if alone && end == Outcome::Timeout { SLOWER } else { 1.0 };
                 host.spread = (host.spread * slower).min(LATENCY_GUESS.max(host.latency * slower));
@@ -730,7 +735,8 @@
             for o in self.dests[&dest].hosts.iter().filter(|o| **o != e) {
                 let h = self.hosts.get_mut(o).filter(|h| h.health == Health::Well && h.last_ok < since);
                 let Some(h) = h else { continue };
-                (h.health, h.trial_at, h.gap, h.first_bad) = (Health::Sick, now, TRIAL_GAPS.0, now);
+                (h.health, h.trial_at, h.gap) = (Health::Sick, now, TRIAL_GAPS.0);
+                (h.first_bad, h.failed_at) = (now, now);
             }
         }
         if was != health {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -17,6 +17,8 @@
 struct Route {
     limit: u32,
     left: u32,
+    /// It turns connections away.
+    down: bool,
     taken: Vec<u32>,
     refused: Vec<u32>,
 }
@@ -48,7 +50,7 @@
         });
         let route = |&(n, _, limit): &(u8, f32, f64)| {
             let limit = (limit * 2.0) as u32;
-            (common::at(n), Route { limit, left: limit, taken: vec![0], refused: vec![0] })
+            (common::at(n), Route { limit, left: limit, down: false, taken: vec![0], refused: vec![0] })
         };
         let routes = routes.iter().map(route).collect();
         Fleet {
@@ -70,7 +72,9 @@
             *self.attempts.entry((relay, id)).or_insert(0) += 1;
             let route = self.routes.get_mut(&endpoint).expect("listed");
             let (taken, refused) = (route.taken.last_mut(), route.refused.last_mut());
-            let (end, outcome) = if route.left > 0 {
+            let (end, outcome) = if route.down {
+                (self.now + STEP, Outcome::ConnectFailed)
+            } else if route.left > 0 {
                 route.left -= 1;
                 *taken.expect("a window") += 1;
                 (self.now + CALL, Outcome::Ok)
@@ -205,3 +209,23 @@
     }
     assert!(most.iter().all(|ms| *ms < 12_000), "the last is told after {most:?} ms");
 }
+
+#[test]
+fn a_small_route_that_returns_is_used_as_it_warms_up_and_not_toppled() {
+    let mut fleet = Fleet::new(100, &[(1, 20.0, 24.0)]);
+    let route = common::at(1);
+    (0..3).for_each(|_| fleet.window(15.0));
+    fleet.routes.get_mut(&route).expect("listed").down = true;
+    (0..3).for_each(|_| fleet.window(15.0));
+    fleet.routes.get_mut(&route).expect("listed").down = false;
+    (0..6).for_each(|_| fleet.window(15.0));
+    let taken = &fleet.routes[&route].taken[6..12];
+    let s = settings();
+    for (i, calls) in taken.iter().enumerate() {
+        // What it could do at the end of the window, cold as it was, a third over its limit when warm.
+        let warm = (2.0 * (i as f64 + 1.0) * SEC as f64 / s.warm_after as f64).min(1.0);
+        let capacity = 24.0 * 1.3 * (s.cold_share + (1.0 - s.cold_share) * warm) * 2.0;
+        assert!(f64::from(*calls) < s.overload_factor * capacity, "{taken:?}");
+    }
+    assert!(taken.iter().sum::<u32>() > 150, "{taken:?}");
+}
