Work out a pace for one of many or one of few, not both, and end a model once all is told

Read again: `Gate::refill` and `Gate::accept` worked out the pace of one of few (with an exponential in `known`) also where one of many has a rule of its own, and threw it away; a match now takes one of the two. In tests/fleet.rs the directory's model went on for two minutes after everybody had been told, and its comment stood over the wrong thing. Behaviour is as before: the assertions are unchanged and the table by number of senders printed the same figures.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,8 +122,10 @@
         let dt = to_secs(now.saturating_sub(self.at));
         self.at = self.at.max(now);
         if self.pace.is_finite() {
-            let crept = self.pace + PACE_CREEP * self.known(now) * dt;
-            self.pace = self.part.map_or(crept, |p| p.rested(self.pace, dt));
+            self.pace = match self.part {
+                Some(part) => part.rested(self.pace, dt),
+                None => self.pace + PACE_CREEP * self.known(now) * dt,
+            };
             self.tokens = (self.tokens + self.pace * dt).min((self.pace * 0.35).max(1.0));
         }
     }
@@ -138,9 +140,13 @@
     fn accept(&mut self, now: Time) {
         self.proven = self.proven.saturating_add(1);
         self.accepted.hit(now, RATE);
-        let growth = mix(self.known(now), GROWTH.0, GROWTH.1);
-        let grown = self.pace * (1.0 + growth * to_secs(now.saturating_sub(self.last_ok)).min(1.0));
-        self.pace = self.part.map_or(grown, |p| p.taken(self.pace));
+        self.pace = match self.part {
+            Some(part) => part.taken(self.pace),
+            None => {
+                let growth = mix(self.known(now), GROWTH.0, GROWTH.1);
+                self.pace * (1.0 + growth * to_secs(now.saturating_sub(self.last_ok)).min(1.0))
+            }
+        };
         (self.last_ok, self.refusals) = (now, 0);
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -170,8 +170,8 @@
     assert!(f64::from(refused) < 0.2 * f64::from(taken), "{refused} refused, {taken} taken");
 }
 
-/// A directory that works through asks one after another, also those whose sender has been told that it waited too long.
-/// A fleet starts at once, and two minutes later loses its watches at once: how many watch after two minutes, and when the last was told (ms).
+/// A fleet that starts at once, and two minutes later loses its watches at once: how many watch within two minutes, and
+/// when the last was told (ms). The directory works off asks one after another, also those it has given up.
 fn told(relays: u32) -> [(usize, Time); 2] {
     const ASK: Time = 55 * MS;
     const PATIENCE: Time = 2 * SEC;
@@ -200,6 +200,9 @@
                     (watches, last) = (watches + 1, (now - begin) / MS);
                 }
             }
+            if watches == relays.len() && queue.is_empty() {
+                break;
+            }
         }
         (watches, last)
     })
