Count a refusal against a partner's return, and cut no wait where asks have no bound

A partner that was shut by refusals falls sick without one, so that its return counted as half as old as its listing: minutes, and it was warm at once. In the new test of tests/fleet.rs a sender made 9 calls in the first 3 s of such a partner, 5 now.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -37,7 +37,7 @@
         return gap;
     }
     let span = f64::from(relays) * ASK;
-    let most = if within > 0.0 { ASK_MOST * within } else { span };
+    let most = if within > 0.0 { ASK_MOST * within } else { f64::INFINITY };
     if span <= most {
         return (gap + draw() * span).min(most);
     }
@@ -142,6 +142,11 @@
         let at_most = |gap| ask_in(gap, 10_000, 10.0, || 1.0);
         assert!(at_most(0.0) <= 6.0 && at_most(0.5) <= 6.5 && at_most(2.0) > 24.0 && at_most(4.0) < 60.0);
         assert_eq!(ask_in(0.0, 10_000, 0.0, || 1.0), 600.0);
+        assert_eq!(
+            ask_in(4.0, 10, 0.0, || 0.0),
+            4.0,
+            "without a bound nothing cuts what one of few would wait"
+        );
     }
 
     #[test]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -631,6 +631,9 @@
         if host.streak == 0 && end != Outcome::Ok && host.first_bad <= host.last_ok {
             host.first_bad = sent;
         }
+        if !matches!(end, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
+            host.failed_at = now; // a refusal too: one that is shut was not back yet
+        }
         match end {
             Outcome::Ok => {
                 let brief = now.saturating_sub(host.first_bad) < self.s.overload_for * 3 / 2;
@@ -713,7 +716,6 @@
                 // Calls lost while others sent later were answered tell of loss on the way, not of an outage.
                 let alone = host.last_ok <= sent;
                 host.streak += u32::from(alone);
-                host.failed_at = now;
                 host.fails += 0.2 * (1.0 - host.fails);
                 let slower = if alone && end == Outcome::Timeout { SLOWER } else { 1.0 };
                 host.spread = (host.spread * slower).min(LATENCY_GUESS.max(host.latency * slower));
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,7 +37,7 @@
     pub streak: u32,
     pub fails: f64,
     pub last_ok: Time,
-    /// When a call last failed here, or it was taken for down with its siblings; at first when it was listed.
+    /// When a call last failed or was refused here, or it was taken for down with its siblings; at first when it was listed.
     pub failed_at: Time,
     /// Send time of the first call of the present row of failures.
     pub first_bad: Time,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -239,6 +239,34 @@
     assert!(taken.iter().sum::<u32>() > 150, "{taken:?}");
 }
 
+#[test]
+fn a_route_that_was_shut_comes_back_cold_however_long_ago_it_was_listed() {
+    let cold = Settings { cold_share: 0.05, warm_after: 30 * SEC, ..settings() };
+    let of_fleet = Settings { relays: 100, listed: ListedRates::Rough, slots: 60, ..cold };
+    let line = Listing { rate: 300.0, ..common::line(1, 1, 2, Condition::Ready) };
+    let mut d = common::Driver::new(of_fleet.clone(), vec![line]);
+    d.pass(60 * SEC);
+    d.arrive(1, 0, 1);
+    d.pass(2 * SEC);
+    d.end(1, Outcome::Full { wait: 2 * of_fleet.overload_for });
+    for id in 2..40 {
+        d.arrive(id, 0, 1);
+    }
+    d.seen.clear();
+    let mut calls = 0;
+    while calls == 0 {
+        let sent = common::sends(&d.pass(100 * MS));
+        sent.iter().for_each(|id| drop(d.end(*id, Outcome::Ok)));
+        calls += sent.len();
+    }
+    for _ in 0..30 {
+        let sent = common::sends(&d.pass(100 * MS));
+        sent.iter().for_each(|id| drop(d.end(*id, Outcome::Ok)));
+        calls += sent.len();
+    }
+    assert!(calls <= 6, "{calls} calls in the first 3 s of a partner that is cold");
+}
+
 /// `cargo test --release --test fleet -- --ignored --nocapture` prints the table in docs/fleet.md.
 #[test]
 #[ignore = "a table to read"]
