Let a sender that is handed more of the traffic take more parts of each route

Destination 3, asked for 196 a second with repeats, listed at 130: 3,487 delivered, 2,771 deferred, 0 refused; the routes took 109 a second. Deliveries by sender: the eighth decile starts at 578, the first at 113, the median is 155: four in five senders see half the mean and the rest three to five times of it. Each kept to the even part of each route, so the busy ones held messages (median 1.05 s to the first call, 99th percentile 11.9 s) beside idle parts of others.

At fault: Part::of (src/fleet.rs), which divides what is listed by the number of senders alone. A sender now counts what it is handed for the first time (`Traffic`) and takes as many even parts as it is handed of what all routes take, one at least. A quarter over the even part counts as chance and as bursts that come to all. At most eight parts.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,6 +5,9 @@
 //! of the listed rate from the first call on, and takes siblings by lot rather than all the same one. No I/O, no clock; the
 //! caller brings time and randomness.
 
+use crate::state::Meter;
+use crate::Time;
+
 /// Senders from which on one sees too little of a route: its own calls are a tenth or less of those that the route gets.
 const MANY: u32 = 10;
 /// Least part, in calls a second: a fleet that is said to be far larger than it is slows a sender and never stops it.
@@ -95,6 +98,56 @@
     }
 }
 
+/// Memory of what a sender is handed: seconds, and the part that one more message leaves.
+const MEMORY: (f64, f64) = (8.0, 0.9);
+/// What is counted as seen before the first message, in seconds without any.
+const BEFORE: f64 = 2.0;
+/// Part of its class's time that a message has left when it is handed in for the first time, some of it spent on the way.
+const FIRST: f64 = 0.95;
+/// How far a sender's count may lie over the even part and still tell of none: chance in some fifty messages, and what comes
+/// to all senders more than usually, for which the routes take no more.
+const STRAY: f64 = 1.25;
+/// Most even parts that one sender may take.
+const BUSIEST: f64 = 8.0;
+
+/// How much of the fleet's traffic comes by this sender. Fronts deal out connections, not messages: some senders see several
+/// times the mean, and with the even part of each route they would hold messages beside idle parts of their siblings.
+#[derive(Clone, Debug, Default)]
+pub struct Traffic {
+    /// Messages handed in for the first time; those that come again say how much is refused, not how much is asked for.
+    first: Meter,
+    /// Calls a second that all routes together take, as listed.
+    listed: f64,
+}
+
+impl Traffic {
+    /// Nothing seen and nothing listed yet.
+    pub fn new(now: Time) -> Self {
+        Traffic { first: Meter::new(now, BEFORE), listed: 0.0 }
+    }
+
+    /// Takes what the routes of a list take, in calls a second each.
+    pub fn list(&mut self, rates: impl Iterator<Item = f64>) {
+        self.listed = rates.filter(|r| r.is_finite()).sum();
+    }
+
+    /// Counts a message that may be delivered for `left`, in a class that gives it `whole`.
+    pub fn handed_in(&mut self, now: Time, left: Time, whole: Time) {
+        if left as f64 >= FIRST * whole as f64 {
+            self.first.hit(now, MEMORY);
+        }
+    }
+
+    /// Even parts that this sender may take of each route: as many as it is handed of what the routes take, one at least.
+    /// What one takes over one part others leave, as far as the list is right about all routes together.
+    pub fn parts(&self, now: Time, relays: u32) -> f64 {
+        if relays < MANY || self.listed <= 0.0 {
+            return 1.0;
+        }
+        (self.first.rate(now) * f64::from(relays) / (STRAY * self.listed)).clamp(1.0, BUSIEST)
+    }
+}
+
 /// The place of a route in a lottery: the smallest wins, each as often as its weight is part of all weights. `draw` is
 /// evenly from 0 to 1, a weight of 0 or less comes last.
 pub fn lot(weight: f64, draw: f64) -> f64 {
@@ -154,6 +207,26 @@
         assert_eq!((unseen(6.0, 100), unseen(6.0, 3)), (3.0, 0.0));
     }
 
+    #[test]
+    fn a_sender_that_is_handed_more_than_others_takes_more_parts_and_repeats_count_for_none() {
+        const SEC: Time = crate::state::SEC;
+        let seen = |first: u64, again: u64, relays| {
+            let mut traffic = Traffic::new(0);
+            traffic.list([60.0, 40.0, f64::NAN].into_iter());
+            for i in 1..=40 * SEC / crate::state::MS {
+                let at = i * crate::state::MS;
+                (0..u64::from(i % first == 0)).for_each(|_| traffic.handed_in(at, 12 * SEC, 12 * SEC));
+                (0..u64::from(i % again == 0)).for_each(|_| traffic.handed_in(at, 9 * SEC, 12 * SEC));
+            }
+            traffic.parts(40 * SEC, relays)
+        };
+        // One in a second is the even part of 100 a second among 100 senders.
+        assert_eq!(seen(2_000, 50, 100), 1.0);
+        assert!((2.8..3.6).contains(&seen(250, 2_000, 100)), "{}", seen(250, 2_000, 100));
+        assert_eq!((seen(20, 2_000, 100), seen(20, 2_000, 3)), (BUSIEST, 1.0));
+        assert_eq!(Traffic::new(0).parts(SEC, 100), 1.0, "nothing listed");
+    }
+
     #[test]
     fn lots_fall_by_weight() {
         let mut random = crate::state::Random::new(7);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,7 +3,7 @@
 //! Ordinary path (the post's dispatcher): a [`Dispatcher`] per destination serves one line, pauses all sends
 //! for the longest told wait, sends refused calls again first, bounds calls by a pool; `docs/design.md`.
 
-use crate::fleet::{ask_in, lot, unseen, Part};
+use crate::fleet::{ask_in, lot, unseen, Part, Traffic};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -105,11 +105,21 @@
 impl Gate {
     fn new(now: Time) -> Self {
         let (accepted, pace) = (Meter::new(now, RATE.0), f64::INFINITY);
-        Gate { pace, accepted, at: now, last_ok: now, budget: 1.0, budget_at: now, ..Gate::default() }
+        Gate {
+            pace,
+            parts: 1.0,
+            accepted,
+            at: now,
+            last_ok: now,
+            budget: 1.0,
+            budget_at: now,
+            ..Gate::default()
+        }
     }
 
     /// One of many senders begins at its part, with a part of a call saved up: all begin at the same moment.
-    fn open(&mut self, now: Time, part: Option<Part>, saved: f64) {
+    fn open(&mut self, now: Time, part: Option<Part>, saved: f64, parts: f64) {
+        self.parts = if part.is_some() { parts } else { 1.0 };
         let Some(p) = part.filter(|_| self.pace.is_infinite()) else { return };
         (self.part, self.pace, self.tokens, self.at) = (part, p.opening(), saved, now);
     }
@@ -126,7 +136,8 @@
                 Some(part) => part.rested(self.pace, dt),
                 None => self.pace + PACE_CREEP * self.known(now) * dt,
             };
-            self.tokens = (self.tokens + self.pace * dt).min((self.pace * 0.35).max(1.0));
+            let pace = self.pace * self.parts;
+            self.tokens = (self.tokens + pace * dt).min((pace * 0.35).max(1.0));
         }
     }
 
@@ -186,6 +197,7 @@
     reaper: Reaper,
     lore: Vec<Lore>,
     tenant_rate: Vec<Meter>,
+    traffic: Traffic,
     next_call: u64,
     start: Time,
     now: Time,
@@ -225,7 +237,7 @@
         self.now = self.now.max(now); // a clock that steps back must not make spans negative
         let now = self.now;
         if self.start == 0 {
-            self.start = now;
+            (self.start, self.traffic) = (now, Traffic::new(now));
             self.watch_at = self.s.ask_list.then_some(now + self.ask_in(0));
             self.tenant_rate.iter_mut().for_each(|t| *t = Meter::new(now, RATE.0));
         }
@@ -295,6 +307,7 @@
             (host.kind, host.listed) = (usize::from(l.kind).min(last_kind), f64::from(l.rate));
             stale.push(l.endpoint);
         }
+        self.traffic.list(self.hosts.values().filter(|h| h.ready).map(|h| h.listed));
         // For rare callers an outage outlives its endpoints: what is new beside or after them is tried first.
         for e in &fresh {
             let dest = self.hosts[e].dest;
@@ -338,6 +351,7 @@
         let class = self.class(&m);
         let (deadline, in_order) = (now.saturating_add(m.ttl), class.in_order && m.key != 0);
         let born = deadline.saturating_sub(class.deadline);
+        self.traffic.handed_in(now, m.ttl, class.deadline);
         let over_share = self.over_share(now, m.tenant);
         if in_order {
             self.keys.entry(m.key).or_default().turn.push_back(m.id);
@@ -791,6 +805,7 @@
         let seen = self.dests[&dest].hosts.iter().map(|e| &self.hosts[e]).filter(|h| h.base > 0.0);
         let (n, sum) = seen.fold((0.0, 0.0), |(n, sum), h| (n + 1.0, sum + h.latency));
         let usual = if n > 0.0 { sum / n } else { LATENCY_GUESS };
+        let parts = self.traffic.parts(now, self.s.relays);
         for e in self.dests[&dest].hosts.clone() {
             let h = &self.hosts[&e];
             if !h.ready || zone.is_some_and(|z| z != h.zone) {
@@ -802,12 +817,12 @@
             let part = Part::of(listed, self.s.relays);
             let draw = part.map_or(0.0, |_| self.random.draw());
             let gate = self.gate(dest, &e);
-            gate.open(now, part, draw);
+            gate.open(now, part, draw, parts);
             let (known, refusals) = (gate.known(now), f64::from(gate.refusals));
             gate.refill(now);
             let mut from = gate.until();
             if gate.tokens < 1.0 && gate.pace.is_finite() {
-                from = from.max(now + MS + secs((1.0 - gate.tokens) / gate.pace));
+                from = from.max(now + MS + secs((1.0 - gate.tokens) / (gate.pace * gate.parts)));
             }
             if budget < 1.0 {
                 from = from.max(now + MS + secs((1.0 - budget) / rate));
--- a/src/state.rs
+++ b/src/state.rs
@@ -64,6 +64,8 @@
     pub pace: f64,
     /// This relay's part of what is listed, where it is one of many: bounds the pace from the first call on.
     pub part: Option<Part>,
+    /// Even parts that the relay may take, where it has one: a factor on the pace.
+    pub parts: f64,
     pub tokens: f64,
     pub accepted: Meter,
     pub at: Time,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -8,6 +8,8 @@
 
 /// Time that a call takes.
 const CALL: Time = 200 * MS;
+/// Time that a message has: that of its class, which shows that it is handed in for the first time.
+const TTL: Time = 20 * SEC;
 /// Step of the model.
 const STEP: Time = 10 * MS;
 /// Span in which a route counts its calls.
@@ -32,6 +34,8 @@
     attempts: BTreeMap<(usize, MessageId), u16>,
     delivered: u32,
     next: MessageId,
+    /// Which relay a message comes to, of so many.
+    whose: fn(MessageId, usize) -> usize,
 }
 
 impl Fleet {
@@ -61,6 +65,7 @@
             attempts: BTreeMap::new(),
             delivered: 0,
             next: 0,
+            whose: |n, of| (n as usize * 37) % of,
         }
     }
 
@@ -89,7 +94,7 @@
     /// Hands one message to a relay.
     fn arrive(&mut self, relay: usize) {
         self.next += 1;
-        let m = Message { id: self.next, tenant: 0, class: 1, key: 0, ttl: 12 * SEC, dest: 1 };
+        let m = Message { id: self.next, tenant: 0, class: 1, key: 0, ttl: TTL, dest: 1 };
         self.give(relay, Event::Arrived(m));
     }
 
@@ -101,7 +106,7 @@
             self.now += STEP;
             while f64::from(came) < (self.now - start) as f64 / SEC as f64 * rate {
                 came += 1;
-                self.arrive((self.next as usize * 37) % self.relays.len());
+                self.arrive((self.whose)(self.next, self.relays.len()));
             }
             while let Some((&(at, relay, id), &outcome)) =
                 self.out.first_key_value().filter(|(k, _)| k.0 <= self.now)
@@ -141,6 +146,20 @@
     assert_eq!(fleet.refused(), 0);
 }
 
+#[test]
+fn a_sender_that_is_handed_most_of_the_traffic_does_not_hold_it_beside_idle_parts_of_others() {
+    let mut fleet = Fleet::new(100, &[(1, 30.0, 32.0), (2, 20.0, 21.0)]);
+    // A fifth of the senders get four times as much as each of the others.
+    fleet.whose =
+        |n, of| if n % 2 == 0 { (n as usize * 37 / 2) % (of / 5) * 5 } else { (n as usize * 7) % of };
+    for _ in 0..8 {
+        fleet.window(42.0);
+    }
+    let due = 16 * 42;
+    assert!(fleet.delivered * 100 > due * 80, "delivered {} of {due}", fleet.delivered);
+    assert!(fleet.refused() * 20 < due, "refused {} of {due}", fleet.refused());
+}
+
 #[test]
 fn a_clump_does_not_jam_a_route_for_long() {
     let mut fleet = Fleet::new(100, &[(1, 30.0, 25.0), (2, 20.0, 22.0)]);
