Join the logs of all senders into the line of life of a message: raildeal trace

Until now the steps between taking a message on and its call were not logged, and a repeat under a new id could be joined only by hand. Each step is now a line at the debug level, with the words in one place (`trace::step`) that the writer and the reader share; `raildeal trace` reads logs in one pass, joins ids by their key and names lives that went wrong (no end, late, failed unsent, two ends).

Tests: a life over two senders and two ids, each fault found once, and the life of a message over a kill on both fronts (the scenario that was there now reads the logs of both processes).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -9,8 +9,10 @@
 use clap::{Parser, Subcommand};
 use raildeal::config::Config;
 use raildeal::core::survey::{survey, Survey};
+use raildeal::trace::Logs;
 use std::ffi::OsString;
-use std::io::{self, Write};
+use std::fs::File;
+use std::io::{self, BufReader, Write};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{self, ExitCode};
@@ -60,6 +62,15 @@
     /// Prints a manual page.
     #[cfg(feature = "tools")]
     Man,
+    /// Joins the logs of all senders (level debug): the line of life of a message, or those whose life went wrong.
+    Trace {
+        /// The message: its life is told, and that of all that were handed in under its key.
+        #[arg(long)]
+        id: Option<String>,
+        /// Logs, one of each sender, named after it; of a folder, all files that end with `.log`.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Looks into the journal of a state folder, also beside a running process; changes nothing.
     Journal {
         #[command(subcommand)]
@@ -106,6 +117,7 @@
             }),
             #[cfg(feature = "tools")]
             Command::Man => print(|out| clap_mangen::Man::new(Cli::command()).render(out)),
+            Command::Trace { id, logs } => trace(id.as_deref(), &logs),
             Command::Journal { what: Journal::Inspect { folder, messages, json } } => {
                 look(&folder).and_then(|seen| {
                     if json { as_json(seen, messages) } else { as_text(&seen, messages) }
@@ -156,6 +168,43 @@
     format!("{}: {failed}; 'cargo build --release --workspace' builds it", program.display())
 }
 
+fn trace(id: Option<&str>, paths: &[PathBuf]) -> Result<ExitCode, String> {
+    let mut logs = Logs::default();
+    for file in files_of(paths)? {
+        let sender = file.file_stem().unwrap_or(file.as_os_str()).to_string_lossy();
+        let read = File::open(&file).and_then(|f| logs.read(&sender, BufReader::new(f)));
+        read.map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    if let Some(id) = id {
+        let life = logs.life(id).ok_or_else(|| format!("{id}: no line of it in these logs"))?;
+        return print(|out| out.write_all(life.as_bytes()));
+    }
+    let wrong = logs.wrong();
+    print(|out| {
+        wrong.iter().try_for_each(|(id, how)| writeln!(out, "{id}: {how:?}"))?;
+        writeln!(out, "{} messages, {} whose life went wrong", logs.messages(), wrong.len())
+    })?;
+    Ok(if wrong.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
+/// The files that are meant, those of a folder in order of their names.
+fn files_of(paths: &[PathBuf]) -> Result<Vec<PathBuf>, String> {
+    let mut files = Vec::new();
+    for path in paths {
+        if !path.is_dir() {
+            files.push(path.clone());
+            continue;
+        }
+        let inside =
+            std::fs::read_dir(path).and_then(|d| d.map(|f| Ok(f?.path())).collect::<io::Result<Vec<_>>>());
+        let mut inside = inside.map_err(|e| format!("{}: {e}", path.display()))?;
+        inside.retain(|f| f.extension().is_some_and(|e| e == "log"));
+        inside.sort();
+        files.append(&mut inside);
+    }
+    Ok(files)
+}
+
 fn look(folder: &Path) -> Result<Survey, String> {
     survey(folder).map_err(|e| format!("{}: {e}", folder.display()))
 }
--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -8,6 +8,7 @@
 use super::journal::{Journal, Record, AGAIN};
 use super::wheel::Wheel;
 use super::{span, Envelope, Front, Invoker, InvokerCall, Local, Report, Verdict};
+use crate::trace::step;
 use crate::{Effect, Endpoint, Message, Outcome, Past, Settings, Time};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
@@ -145,6 +146,9 @@
         }
     };
     let (envelope, guest) = (record.envelope(), house.guests.taken_on(client.name));
+    let (class, dest) = (envelope.class, envelope.dest);
+    let (taken_on, key) = (step::TAKEN_ON, envelope.key.as_deref().unwrap_or("-"));
+    log::debug!("{id}: {taken_on}class {class}, dest {dest}{}{key}, {left:?} left", step::KEY);
     let mut ticket = house.desk.enter(message(&envelope, left), None);
     let first = ticket.ready();
     match first {
@@ -175,6 +179,7 @@
         let _ = record.close();
         return;
     }
+    log::debug!("{id}: {}", step::HEARD);
     deliver(&house, envelope, record, (ticket, guest), first, started + left).await;
 }
 
@@ -190,8 +195,9 @@
     let left = house.deadline(&envelope).map_or(record.left(), |most| record.left().min(most));
     let ran = record.ran().map(|(zone, age)| (house.ago(&envelope, age), house.directory.zone(&zone)));
     log::debug!(
-        "{}: taken up with {left:?} left, {} calls made, ran: {ran:?}",
+        "{}: {}{left:?} left, {} calls made, ran: {ran:?}",
         envelope.id,
+        step::TAKEN_UP,
         account.attempts
     );
     let past = Past { attempts: account.attempts, ran };
@@ -227,6 +233,7 @@
                 }
                 if over {
                     // Withdrawn or out of time, as the other side knows: nothing is owed.
+                    log::debug!("{}: {}{} over elsewhere", envelope.id, step::ENDED, envelope.dest);
                     let _ = record.close();
                     return;
                 }
@@ -239,8 +246,9 @@
     };
     drop((ticket, guest));
     log::debug!(
-        "{}: dest {} {verdict:?}, {:?} left",
+        "{}: {}{} {verdict:?}, {:?} left",
         envelope.id,
+        step::ENDED,
         envelope.dest,
         deadline.saturating_duration_since(Instant::now())
     );
@@ -297,6 +305,10 @@
             went.set(record.sent(&provider.entry.zone).is_ok());
             began.set(went.get());
         }
+        if began.get() {
+            let (id, uid) = (&envelope.id, &provider.entry.uid);
+            log::debug!("{id}: {}{} to {uid}, for {timeout:?}", step::CALL, record.account().attempts);
+        }
         began.get()
     };
     let report = house
@@ -320,6 +332,7 @@
     match house.fronts.get(&envelope.front) {
         Some(front) => {
             front.tell(envelope, verdict).await;
+            log::debug!("{}: {}", envelope.id, step::TOLD);
             let _ = record.close();
         }
         // The record stays open: what is owed is owed until that front is back.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod settings;
 mod state;
 pub mod store;
+pub mod trace;
 
 pub use interface::*;
 pub use policy::Relay;
--- /dev/null
+++ b/src/trace.rs
@@ -0,0 +1,227 @@
+//! The line of life of a message, joined from the logs of all senders that held it.
+//!
+//! Senders write these lines at the level `debug`; [`step`] has their words. A message that is handed in again has another id
+//! and, in a keyed class, the same key: what is asked for by an id is told for all ids of its key.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+use std::io::{self, BufRead};
+
+/// The words of each step, as `core::invocation` writes them behind `id: `.
+pub mod step {
+    /// Written down and brought before the module; goes on with class, destination, key and time left.
+    pub const TAKEN_ON: &str = "taken on, ";
+    /// Between the words before and the key.
+    pub const KEY: &str = ", key ";
+    /// Its client has been written that it is taken on.
+    pub const HEARD: &str = "its client is told that it is taken on";
+    /// Taken up by a process that found it written down.
+    pub const TAKEN_UP: &str = "taken up with ";
+    /// A call begins; goes on with number and provider.
+    pub const CALL: &str = "call ";
+    /// Its end; goes on with destination, verdict and time left.
+    pub const ENDED: &str = "dest ";
+    /// The final answer was heard, or none is owed.
+    pub const TOLD: &str = "final answer told";
+}
+
+/// Where the lines of a message stand, in every log of the program.
+const OF_MESSAGES: &str = "raildeal::core::invocation] ";
+
+/// Logs, each with the name of its sender, oldest line first. Lines are read one at a time, and those of messages are kept.
+#[derive(Debug, Default)]
+pub struct Logs {
+    messages: BTreeMap<String, Message>,
+    by_key: BTreeMap<String, BTreeSet<String>>,
+}
+
+#[derive(Debug, Default)]
+struct Message {
+    key: Option<String>,
+    lines: Vec<Line>,
+}
+
+#[derive(Debug)]
+struct Line {
+    at: At,
+    time: String,
+    sender: String,
+    text: String,
+}
+
+/// When a line was written: a number of seconds, or else text that sorts (RFC 3339). Without either, lines keep the order in
+/// which they were read.
+#[derive(Clone, Debug, PartialEq, PartialOrd)]
+enum At {
+    Seconds(f64),
+    Text(String),
+}
+
+/// What is wrong with a message's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Wrong {
+    /// Its client was told that it is taken on, and no log has its end.
+    NoEnd,
+    /// It ended when its time was up, though a process held it then.
+    Late,
+    /// It ended as failed though no call was made: it should have been deferred.
+    FailedUnsent,
+    /// It has more than one end.
+    TwoEnds,
+}
+
+impl Logs {
+    /// Reads a sender's log. Bytes that are no text are passed over.
+    pub fn read(&mut self, sender: &str, mut log: impl BufRead) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        while log.read_until(b'\n', &mut bytes)? > 0 {
+            self.line(sender, String::from_utf8_lossy(&bytes).trim_end());
+            bytes.clear();
+        }
+        Ok(())
+    }
+
+    fn line(&mut self, sender: &str, line: &str) {
+        let Some((before, said)) = line.split_once(OF_MESSAGES) else { return };
+        let Some((id, text)) = said.split_once(": ") else { return };
+        let time = before.split(['[', ' ']).find(|w| !w.is_empty()).unwrap_or("");
+        let time = if time.starts_with(|c: char| c.is_ascii_digit()) { time } else { "" };
+        let at = time.parse().map_or_else(|_| At::Text(time.to_string()), At::Seconds);
+        let message = self.messages.entry(id.to_string()).or_default();
+        if let Some((_, key)) = text.strip_prefix(step::TAKEN_ON).and_then(|t| t.split_once(step::KEY)) {
+            let key = key.split(',').next().unwrap_or(key).to_string();
+            self.by_key.entry(key.clone()).or_default().insert(id.to_string());
+            message.key = Some(key);
+        }
+        let (time, sender, text) = (time.to_string(), sender.to_string(), text.to_string());
+        message.lines.push(Line { at, time, sender, text });
+    }
+
+    /// The life of a message and of all that were handed in under its key, a line for each step; nothing where no log has it.
+    pub fn life(&self, id: &str) -> Option<String> {
+        let asked = self.messages.get(id)?;
+        let alone = BTreeSet::from([id.to_string()]);
+        let ids = asked.key.as_ref().and_then(|k| self.by_key.get(k)).unwrap_or(&alone);
+        let mut lines: Vec<(&str, &Line)> = Vec::new();
+        for id in ids {
+            lines.extend(self.messages[id].lines.iter().map(|l| (id.as_str(), l)));
+        }
+        lines.sort_by(|a, b| a.1.at.partial_cmp(&b.1.at).unwrap_or(std::cmp::Ordering::Equal));
+        let mut told = String::new();
+        for (id, Line { time, sender, text, .. }) in lines {
+            let _ = writeln!(told, "{time:>10} {sender:<8} {id} {text}");
+        }
+        for id in ids {
+            let wrong = self.messages[id].wrong();
+            let _ = writeln!(
+                told,
+                "{id}: {}",
+                if wrong.is_empty() { "kept".into() } else { format!("{wrong:?}") }
+            );
+        }
+        Some(told)
+    }
+
+    /// All messages whose life went wrong, and how.
+    pub fn wrong(&self) -> Vec<(&str, Vec<Wrong>)> {
+        let all = self.messages.iter().map(|(id, m)| (id.as_str(), m.wrong()));
+        all.filter(|(_, wrong)| !wrong.is_empty()).collect()
+    }
+
+    /// Messages that some log has.
+    pub fn messages(&self) -> usize {
+        self.messages.len()
+    }
+}
+
+impl Message {
+    fn wrong(&self) -> Vec<Wrong> {
+        let count = |word: &str| self.lines.iter().filter(|l| l.text.starts_with(word)).count();
+        let ends: Vec<&str> = self.lines.iter().filter_map(|l| l.text.strip_prefix(step::ENDED)).collect();
+        let owed = count(step::HEARD) + count(step::TAKEN_UP) > 0;
+        let calls = count(step::CALL);
+        let failed = |end: &&str| end.contains(" Undeliverable");
+        let late = ends.iter().any(|e| e.ends_with(" 0ns left"));
+        // Its time ran out between two processes: nobody could have been in time.
+        let gone = self
+            .lines
+            .iter()
+            .any(|l| l.text.strip_prefix(step::TAKEN_UP).is_some_and(|t| t.starts_with("0ns ")));
+        // A process that was killed between the end and its telling tells it again, and logs no second end.
+        let faults = [
+            (owed && ends.is_empty() && count(step::TOLD) == 0, Wrong::NoEnd),
+            (late && !gone, Wrong::Late),
+            (calls == 0 && ends.iter().any(failed), Wrong::FailedUnsent),
+            (ends.len() > 1, Wrong::TwoEnds),
+        ];
+        faults.into_iter().filter(|f| f.0).map(|f| f.1).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn logs(of: &[(&str, &str)]) -> Logs {
+        let mut logs = Logs::default();
+        of.iter().for_each(|(sender, text)| logs.read(sender, text.as_bytes()).expect("read"));
+        logs
+    }
+
+    #[test]
+    fn a_life_is_joined_over_senders_in_order_of_time_and_over_ids_of_one_key() {
+        let logs = logs(&[
+            (
+                "n2",
+                "10.5 [DEBUG raildeal::core::invocation] b: taken on, class 0, dest 3, key k1, 9s left\n\
+                 10.6 [DEBUG raildeal::core::invocation] b: its client is told that it is taken on\n\
+                 11.0 [DEBUG raildeal::core::invocation] b: call 1 to p, for 2s\n\
+                 11.5 [DEBUG raildeal::core::invocation] b: dest 3 Delivered, 8s left\n",
+            ),
+            (
+                "n1",
+                "9.25 [DEBUG raildeal::core::invocation] a: taken on, class 0, dest 3, key k1, 12s left\n\
+                 9.5 [INFO  raildeal] n1: something else\n\
+                 \u{fffd}\u{0}: no line\n\
+                 9.75 [DEBUG raildeal::core::invocation] a: dest 3 Deferred { again_ms: 5 }, 11s left\n",
+            ),
+        ]);
+        let life = logs.life("b").expect("known");
+        let ids: Vec<&str> =
+            life.lines().take(6).map(|l| l.split_whitespace().nth(2).expect("an id")).collect();
+        assert_eq!(ids, ["a", "a", "b", "b", "b", "b"]);
+        assert!(life.contains("n1       a taken on") && life.ends_with("a: kept\nb: kept\n"), "{life}");
+        assert_eq!((logs.life("c"), logs.messages()), (None, 2));
+    }
+
+    #[test]
+    fn lives_that_went_wrong_are_found() {
+        let line =
+            |text: &str| format!("2026-12-01T10:00:00.000Z DEBUG raildeal::core::invocation] {text}\n");
+        let log: String = [
+            "lost: its client is told that it is taken on",
+            "up: taken up with 3s left, 1 calls made, ran: None",
+            "up: dest 1 Deferred { again_ms: 0 }, 1s left",
+            "late: dest 1 Delivered, 0ns left",
+            "unsent: dest 1 Undeliverable, 2s left",
+            "sent: call 1 to p, for 1s",
+            "sent: dest 1 Undeliverable, 2s left",
+            "twice: dest 1 Delivered, 2s left",
+            "twice: dest 1 Delivered, 1s left",
+            "again: taken up with 3s left, 0 calls made, ran: None",
+            "again: final answer told",
+            "gone: taken up with 0ns left, 0 calls made, ran: None",
+            "gone: dest 1 Deferred { again_ms: 5 }, 0ns left",
+        ]
+        .map(line)
+        .concat();
+        let logs = logs(&[("n1", &log)]);
+        let expected = [
+            ("late", vec![Wrong::Late]),
+            ("lost", vec![Wrong::NoEnd]),
+            ("twice", vec![Wrong::TwoEnds]),
+            ("unsent", vec![Wrong::FailedUnsent]),
+        ];
+        assert_eq!(logs.wrong(), expected);
+    }
+}
--- a/tests/sockets/scenarios.rs
+++ b/tests/sockets/scenarios.rs
@@ -2,6 +2,7 @@
 
 use crate::rig::{message, settings, Answer, End, Heard, Message, Rig, Wire};
 use crate::store::bound;
+use raildeal::trace::{step, Logs};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -125,12 +126,35 @@
     rig.take_on(&message("m1"));
     let first = rig.call();
     rig.program.kill();
+    rig.program.ended();
+    let before = rig.program.log();
     rig.start_again();
     // It may have run: only the same zone will do.
     let second = rig.call();
     assert_eq!(second.provider, first.provider);
     assert_eq!(Message { left: first.message.left, ..second.message.clone() }, first.message);
     second.answer(Answer::Delivered);
+    rig.program.says("m1: final answer told");
+    // Its line of life, from the logs of both processes.
+    let mut logs = Logs::default();
+    for (name, log) in [("before", before), ("after", rig.program.log())] {
+        logs.read(name, log.as_bytes()).expect("read");
+    }
+    let life = logs.life("m1").expect("a life");
+    let mut rest = life.as_str();
+    for step in [
+        ["before", step::TAKEN_ON],
+        ["before", step::HEARD],
+        ["before", step::CALL],
+        ["after", step::TAKEN_UP],
+        ["after", step::CALL],
+        ["after", step::ENDED],
+        ["after", step::TOLD],
+        ["", "m1: kept"],
+    ] {
+        let at = step.iter().try_fold(rest, |rest, word| rest.split_once(word).map(|r| r.1));
+        rest = at.unwrap_or_else(|| panic!("{step:?}:\n{life}"));
+    }
     rig.finish(&["m1"]);
 }
 
