--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod door;
 pub mod fleet;
 pub mod interface;
+pub mod links;
 pub mod net;
 pub mod policy;
 pub mod settings;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::{ask_in, lot, unseen, Part, Traffic};
 use crate::interface::*;
+use crate::links::Reaper;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -31,8 +32,6 @@
 const RATE: (f64, f64) = (2.0, 0.9);
 /// Part of the highest throughput forgotten with each success.
 const BASE_FADE: f64 = 0.005;
-/// Suspicion of idle connections: where it closes them (one lost call: they cost little), bound, memory in s.
-const REAP: (f64, f64, f64) = (0.7, 3.0, 20.0);
 /// Suspicion that a kind is out of connections: where it closes after calls, and bound. Memory as above.
 const CROWDED: (f64, f64) = (1.0, 8.0);
 /// A connection used this lately is not idle: about one call.
@@ -162,24 +161,6 @@
     }
 }
 
-impl Reaper {
-    fn level(&self, now: Time) -> f64 {
-        self.level * (-to_secs(now.saturating_sub(self.at)) / REAP.2).exp()
-    }
-
-    fn learn(&mut self, now: Time, idle: bool, lost: bool) {
-        let level = self.level(now);
-        self.at = now;
-        self.level = match (idle, lost) {
-            (true, true) => level + 1.0,
-            (true, false) => level.min(level * 0.5),
-            (false, true) => level - 1.0,
-            (false, false) => level,
-        };
-        self.level = self.level.clamp(-REAP.1, REAP.1);
-    }
-}
-
 /// One relay: settings, seed and what it has seen.
 #[derive(Debug, Default)]
 pub struct Relay {
@@ -554,7 +535,7 @@
             if let Some((_, limit)) = told {
                 self.gate(dest, &host).limit = limit;
             }
-            if !(idle && lost && self.reaper.level(now) > REAP.0) {
+            if !(idle && lost && self.reaper.doubts(now)) {
                 let left = told.map(|t| t.0);
                 self.learn(now, host, outcome, now.saturating_sub(took), trial, left);
             }
@@ -977,7 +958,7 @@
         let Some(host) = self.hosts.get_mut(&e) else { return false };
         let age = host.used_at.filter(|_| host.calls == 0).map_or(0, |t| now.saturating_sub(t));
         let mut idle = age >= REAP_LEAST && (idle_close == 0 || age < idle_close);
-        if host.doubt_link || idle && self.reaper.level(now) > REAP.0 {
+        if host.doubt_link || idle && self.reaper.doubts(now) {
             self.out.push(Action::CloseIdle { endpoint: e });
             (idle, host.doubt_link) = (false, false);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::Part;
 use crate::interface::*;
+use crate::links::Reaper;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 pub const MS: Time = 1_000_000;
@@ -159,14 +160,6 @@
     pub rest_for: MessageId,
 }
 
-/// Whether connections are lost while idle: calls on idle ones get lost, calls on new ones do not. Suspicion is
-/// the relay's, not an endpoint's: few calls go to each, and what drops connections sits between.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Reaper {
-    pub level: f64,
-    pub at: Time,
-}
-
 /// Events a second: over the last seconds where they are frequent, over the last few events where they are rare.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Meter {
