Tell the size of each table at debug level, and find only lives that really went wrong

The soak shows one figure, resident memory; what grows can only be found by the owners' sizes. Each owner now tells the length of its tables (module, desk, directory, invoker, notices, wheel), a record every 5 s where the level is debug.

--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -105,6 +105,13 @@
         self.inner.borrow().tickets.len()
     }
 
+    /// Entries of the module's tables, and of its own.
+    pub fn sizes(&self) -> Vec<(&'static str, usize)> {
+        let inner = self.inner.borrow();
+        let own = ("tickets", inner.tickets.len());
+        inner.relay.sizes().into_iter().chain([own]).collect()
+    }
+
     /// Takes news of the list in.
     pub fn list(&self, news: &News) {
         if let Some((event, left)) = self.directory.take(news) {
--- a/src/core/directory.rs
+++ b/src/core/directory.rs
@@ -171,6 +171,13 @@
         Some((event, left))
     }
 
+    /// Entries of its tables.
+    pub fn sizes(&self) -> [(&'static str, usize); 4] {
+        let (providers, handles) = (self.providers.borrow().len(), self.handles.borrow().len());
+        let (waits, zones) = (self.waits.borrow().len(), self.zones.borrow().len());
+        [("providers", providers), ("handles", handles), ("waits", waits), ("zones", zones)]
+    }
+
     /// The provider that the module means.
     pub fn provider(&self, endpoint: Endpoint) -> Option<Rc<Provider>> {
         self.providers.borrow().get(&endpoint).cloned()
--- a/src/core/wheel.rs
+++ b/src/core/wheel.rs
@@ -76,6 +76,11 @@
         Rc::new(Wheel { start: Instant::now(), slots, sooner: async_channel::bounded(1) })
     }
 
+    /// Sleeps that have not ended.
+    pub fn sleepers(&self) -> usize {
+        self.slots.borrow().ring.iter().map(Vec::len).sum()
+    }
+
     /// Turns the wheel for ever.
     pub async fn turn(&self) {
         loop {
--- a/src/main.rs
+++ b/src/main.rs
@@ -50,6 +50,8 @@
 const LAST_CALL: Duration = Duration::from_millis(2000);
 /// The process ends so long after the signal, before it would be killed.
 const END: Duration = Duration::from_millis(3400);
+/// How often the sizes of tables are told, where the level of the log is debug.
+const SIZES_EVERY: Duration = Duration::from_secs(5);
 /// Connections that may bring updates of the directory.
 const UPDATERS: usize = 8;
 
@@ -164,6 +166,21 @@
     Rc::new(ByKind { posters, brokers })
 }
 
+/// Tells how long each table is, for as long as the process lives.
+async fn sizes(house: Rc<House>, invoker: Rc<ByKind>, notices: Option<Rc<Notices>>) {
+    loop {
+        house.wheel.sleep(SIZES_EVERY).await;
+        let mut all = house.desk.sizes();
+        all.extend(house.directory.sizes());
+        all.push(("names", house.names.borrow().len()));
+        all.push(("idle", invoker.idle()));
+        all.push(("notices", notices.as_ref().map_or(0, |n| n.waiting())));
+        all.push(("sleepers", house.wheel.sleepers()));
+        let all: Vec<String> = all.iter().map(|(table, entries)| format!("{table}={entries}")).collect();
+        log::debug!("sizes: {}", all.join(" "));
+    }
+}
+
 async fn serve(
     config: Config,
     file: Option<PathBuf>,
@@ -229,10 +246,14 @@
     keep(&executor, async move { timing.0.keep_time(&timing.1).await });
     keep(&executor, tended.tend(wheel.clone()));
     keep(&executor, synced.sync());
-    keep(&executor, async move { invoker.sweep().await });
-    if let Some(notices) = notices {
+    let sweeping = invoker.clone();
+    keep(&executor, async move { sweeping.sweep().await });
+    if let Some(notices) = notices.clone() {
         keep(&executor, async move { notices.run().await });
     }
+    if log::log_enabled!(log::Level::Debug) {
+        keep(&executor, sizes(house.clone(), invoker.clone(), notices));
+    }
     if let Some(discovery) = discovery.clone() {
         let watch = Watch { discovery, desk: desk.clone(), directory, wheel: wheel.clone() };
         keep(&executor, async move { watch.run(asked).await });
--- a/src/net/by_kind.rs
+++ b/src/net/by_kind.rs
@@ -17,6 +17,11 @@
 }
 
 impl ByKind {
+    /// Connections that are kept idle.
+    pub fn idle(&self) -> usize {
+        self.posters.idle() + self.brokers.as_ref().map_or(0, |(brokers, _)| brokers.idle())
+    }
+
     /// Closes connections as they get old; runs for ever.
     pub async fn sweep(&self) {
         match &self.brokers {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -97,6 +97,11 @@
         Rc::new(Calls { dialect, idle: RefCell::default(), most, wheel, connect_timeout, idle_most })
     }
 
+    /// Connections that are kept idle.
+    pub fn idle(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Closes connections as they get old; runs for ever.
     pub async fn sweep(&self) {
         loop {
@@ -132,8 +137,7 @@
     }
 
     fn keep(&self, provider: Endpoint, link: Link) {
-        let kept = self.idle.borrow().values().map(Vec::len).sum::<usize>();
-        if kept >= self.most && !self.give_up_oldest() {
+        if self.idle() >= self.most && !self.give_up_oldest() {
             return link.stream.try_send(self.dialect.farewell());
         }
         let mut idle = self.idle.borrow_mut();
--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -38,6 +38,11 @@
         Rc::new(Notices { queue: async_channel::unbounded(), discovery, wheel })
     }
 
+    /// Notices that wait to be sent.
+    pub fn waiting(&self) -> usize {
+        self.queue.1.len()
+    }
+
     /// Sends what is queued, for ever.
     pub async fn run(&self) {
         let (mut stream, mut rest) = (None, REST.0);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -251,6 +251,19 @@
         out.append(&mut self.out);
     }
 
+    /// Entries of the tables that grow with use.
+    pub fn sizes(&self) -> [(&'static str, usize); 5] {
+        let gates = self.dests.values().map(|d| d.gates.len()).sum();
+        let (held, out, keys, hosts) = (&self.held, &self.flights, &self.keys, &self.hosts);
+        [
+            ("held", held.len()),
+            ("out", out.len()),
+            ("keys", keys.len()),
+            ("hosts", hosts.len()),
+            ("gates", gates),
+        ]
+    }
+
     /// Time until the list is asked for, which one of few would do after `gap`.
     fn ask_in(&mut self, gap: Time) -> Time {
         let (relays, within) = (self.s.relays, to_secs(self.s.ask_within));
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -33,6 +33,8 @@
 pub struct Logs {
     messages: BTreeMap<String, Message>,
     by_key: BTreeMap<String, BTreeSet<String>>,
+    /// Time of the newest line, in seconds.
+    newest: f64,
 }
 
 #[derive(Debug, Default)]
@@ -60,13 +62,14 @@
 /// What is wrong with a message's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Wrong {
-    /// Its client was told that it is taken on, and no log has its end.
+    /// Its client was told that it is taken on, its time is up, and no log has its end. Where lines bear no seconds, nobody
+    /// knows how far the logs go, and it counts in any case.
     NoEnd,
     /// It ended when its time was up, though a process held it then.
     Late,
     /// It ended as failed though no call was made: it should have been deferred.
     FailedUnsent,
-    /// It has more than one end.
+    /// It has more ends than it was taken on; clients may use an id again once it is over.
     TwoEnds,
 }
 
@@ -87,6 +90,9 @@
         let time = before.split(['[', ' ']).find(|w| !w.is_empty()).unwrap_or("");
         let time = if time.starts_with(|c: char| c.is_ascii_digit()) { time } else { "" };
         let at = time.parse().map_or_else(|_| At::Text(time.to_string()), At::Seconds);
+        if let At::Seconds(at) = at {
+            self.newest = self.newest.max(at);
+        }
         let message = self.messages.entry(id.to_string()).or_default();
         if let Some((_, key)) = text.strip_prefix(step::TAKEN_ON).and_then(|t| t.split_once(step::KEY)) {
             let key = key.split(',').next().unwrap_or(key).to_string();
@@ -112,7 +118,7 @@
             let _ = writeln!(told, "{time:>10} {sender:<8} {id} {text}");
         }
         for id in ids {
-            let wrong = self.messages[id].wrong();
+            let wrong = self.messages[id].wrong(self.newest);
             let _ = writeln!(
                 told,
                 "{id}: {}",
@@ -124,7 +130,7 @@
 
     /// All messages whose life went wrong, and how.
     pub fn wrong(&self) -> Vec<(&str, Vec<Wrong>)> {
-        let all = self.messages.iter().map(|(id, m)| (id.as_str(), m.wrong()));
+        let all = self.messages.iter().map(|(id, m)| (id.as_str(), m.wrong(self.newest)));
         all.filter(|(_, wrong)| !wrong.is_empty()).collect()
     }
 
@@ -135,11 +141,28 @@
 }
 
 impl Message {
-    fn wrong(&self) -> Vec<Wrong> {
+    /// When its time is up, in seconds, as last told with a time.
+    fn up(&self) -> Option<f64> {
+        self.lines.iter().rev().find_map(|l| {
+            let taken_up = l.text.strip_prefix(step::TAKEN_UP);
+            let taken_on = l.text.strip_prefix(step::TAKEN_ON).and_then(|t| t.rsplit(", ").next());
+            let left = seconds(taken_up.or(taken_on)?.split(' ').next()?)?;
+            if let At::Seconds(at) = l.at {
+                Some(at + left)
+            } else {
+                None
+            }
+        })
+    }
+
+    fn wrong(&self, newest: f64) -> Vec<Wrong> {
         let count = |word: &str| self.lines.iter().filter(|l| l.text.starts_with(word)).count();
         let ends: Vec<&str> = self.lines.iter().filter_map(|l| l.text.strip_prefix(step::ENDED)).collect();
         let owed = count(step::HEARD) + count(step::TAKEN_UP) > 0;
-        let calls = count(step::CALL);
+        // A call that was out when its process was killed may stand in the journal and in no log.
+        let before = self.lines.iter().filter(|l| l.text.starts_with(step::TAKEN_UP));
+        let unsent = count(step::CALL) == 0 && before.into_iter().all(|l| l.text.contains(" 0 calls made"));
+        let held = self.up().is_some_and(|up| newest < up);
         let failed = |end: &&str| end.contains(" Undeliverable");
         let late = ends.iter().any(|e| e.ends_with(" 0ns left"));
         // Its time ran out between two processes: nobody could have been in time.
@@ -149,15 +172,21 @@
             .any(|l| l.text.strip_prefix(step::TAKEN_UP).is_some_and(|t| t.starts_with("0ns ")));
         // A process that was killed between the end and its telling tells it again, and logs no second end.
         let faults = [
-            (owed && ends.is_empty() && count(step::TOLD) == 0, Wrong::NoEnd),
+            (owed && !held && ends.is_empty() && count(step::TOLD) == 0, Wrong::NoEnd),
             (late && !gone, Wrong::Late),
-            (calls == 0 && ends.iter().any(failed), Wrong::FailedUnsent),
-            (ends.len() > 1, Wrong::TwoEnds),
+            (unsent && ends.iter().any(failed), Wrong::FailedUnsent),
+            (ends.len() > count(step::TAKEN_ON).max(1), Wrong::TwoEnds),
         ];
         faults.into_iter().filter(|f| f.0).map(|f| f.1).collect()
     }
 }
 
+/// Reads a span as the log has it, such as `1.5s` or `20ms`.
+fn seconds(span: &str) -> Option<f64> {
+    let units = [("ns", 1e-9), ("\u{b5}s", 1e-6), ("ms", 1e-3), ("s", 1.0)];
+    units.iter().find_map(|(unit, size)| Some(span.strip_suffix(unit)?.parse::<f64>().ok()? * size))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -194,6 +223,26 @@
         assert_eq!((logs.life("c"), logs.messages()), (None, 2));
     }
 
+    #[test]
+    fn what_is_held_when_the_logs_end_is_not_lost_and_an_id_may_be_used_again() {
+        let line =
+            |text: &str| format!("{}\n", text.replacen(' ', " [DEBUG raildeal::core::invocation] ", 1));
+        let log: String = [
+            "1.0 held: taken on, class 0, dest 3, key k, 12s left",
+            "1.0 held: its client is told that it is taken on",
+            "1.0 lost: taken up with 1500.5ms left, 2 calls made, ran: Some((1, 2))",
+            "2.0 sent: taken up with 5s left, 1 calls made, ran: Some((1, 2))",
+            "2.1 sent: dest 3 Undeliverable, 4s left",
+            "3.0 again: taken on, class 0, dest 3, key k, 12s left",
+            "3.1 again: dest 3 Delivered, 11s left",
+            "4.0 again: taken on, class 0, dest 3, key l, 12s left",
+            "4.1 again: dest 3 Delivered, 11s left",
+        ]
+        .map(line)
+        .concat();
+        assert_eq!(logs(&[("n1", &log)]).wrong(), [("lost", vec![Wrong::NoEnd])]);
+    }
+
     #[test]
     fn lives_that_went_wrong_are_found() {
         let line =
