Give messages without a key lives of their own in raildeal trace

Found by reading the change again: a message without a key was logged with the key "-", which the reader took for a key, so that `raildeal trace --id` told the lives of all unkeyed messages as one. A line of a message without a key now names none. The line is written by `step::taken_on`, beside the reader, and the test joins two lines that it wrote; with the old way of writing it the test fails.

--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -146,9 +146,7 @@
         }
     };
     let (envelope, guest) = (record.envelope(), house.guests.taken_on(client.name));
-    let (class, dest) = (envelope.class, envelope.dest);
-    let (taken_on, key) = (step::TAKEN_ON, envelope.key.as_deref().unwrap_or("-"));
-    log::debug!("{id}: {taken_on}class {class}, dest {dest}{}{key}, {left:?} left", step::KEY);
+    log::debug!("{id}: {}", step::taken_on(&envelope, left));
     let mut ticket = house.desk.enter(message(&envelope, left), None);
     let first = ticket.ready();
     match first {
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -9,9 +9,19 @@
 
 /// The words of each step, as `core::invocation` writes them behind `id: `.
 pub mod step {
+    use crate::core::Envelope;
+    use std::time::Duration;
+
+    /// The whole line of a message that is taken on.
+    pub fn taken_on(envelope: &Envelope, left: Duration) -> String {
+        let Envelope { class, dest, key, .. } = envelope;
+        let key = key.as_ref().map_or(String::new(), |key| format!("{KEY}{key}"));
+        format!("{TAKEN_ON}class {class}, dest {dest}{key}, {left:?} left")
+    }
+
     /// Written down and brought before the module; goes on with class, destination, key and time left.
     pub const TAKEN_ON: &str = "taken on, ";
-    /// Between the words before and the key.
+    /// Between the words before and the key, where the message has one.
     pub const KEY: &str = ", key ";
     /// Its client has been written that it is taken on.
     pub const HEARD: &str = "its client is told that it is taken on";
@@ -190,6 +200,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::core::Envelope;
+    use std::time::Duration;
 
     fn logs(of: &[(&str, &str)]) -> Logs {
         let mut logs = Logs::default();
@@ -223,6 +235,14 @@
         assert_eq!((logs.life("c"), logs.messages()), (None, 2));
     }
 
+    #[test]
+    fn messages_without_a_key_have_lives_of_their_own() {
+        let taken_on = step::taken_on(&Envelope::default(), Duration::from_secs(12));
+        let line = |id: &str| format!("1.0 [DEBUG raildeal::core::invocation] {id}: {taken_on}\n");
+        let life = logs(&[("n1", &["a", "b"].map(line).concat())]).life("b").expect("known");
+        assert_eq!(life.lines().count(), 2, "{life}");
+    }
+
     #[test]
     fn what_is_held_when_the_logs_end_is_not_lost_and_an_id_may_be_used_again() {
         let line =
