--- a/src/policy.rs
+++ b/src/policy.rs
@@ -127,6 +127,11 @@
         self.told_until.max(self.own_until)
     }
 
+    /// Calls a second that the relay may make here now.
+    fn rate(&self) -> f64 {
+        self.pace * self.parts
+    }
+
     fn refill(&mut self, now: Time) {
         let dt = to_secs(now.saturating_sub(self.at));
         self.at = self.at.max(now);
@@ -135,8 +140,8 @@
                 Some(part) => part.rested(self.pace, dt),
                 None => self.pace + PACE_CREEP * self.known(now) * dt,
             };
-            let pace = self.pace * self.parts;
-            self.tokens = (self.tokens + pace * dt).min((pace * 0.35).max(1.0));
+            let rate = self.rate();
+            self.tokens = (self.tokens + rate * dt).min((rate * 0.35).max(1.0));
         }
     }
 
@@ -816,7 +821,7 @@
             gate.refill(now);
             let mut from = gate.until();
             if gate.tokens < 1.0 && gate.pace.is_finite() {
-                from = from.max(now + MS + secs((1.0 - gate.tokens) / (gate.pace * gate.parts)));
+                from = from.max(now + MS + secs((1.0 - gate.tokens) / gate.rate()));
             }
             if budget < 1.0 {
                 from = from.max(now + MS + secs((1.0 - budget) / rate));
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -166,26 +166,23 @@
     }
 
     fn wrong(&self, newest: f64) -> Vec<Wrong> {
-        let count = |word: &str| self.lines.iter().filter(|l| l.text.starts_with(word)).count();
-        let ends: Vec<&str> = self.lines.iter().filter_map(|l| l.text.strip_prefix(step::ENDED)).collect();
+        let steps = |word| self.lines.iter().filter_map(move |l| l.text.strip_prefix(word));
+        let count = |word| steps(word).count();
+        let (ends, taken_up) = (|| steps(step::ENDED), || steps(step::TAKEN_UP));
         let owed = count(step::HEARD) + count(step::TAKEN_UP) > 0;
         // A call that was out when its process was killed may stand in the journal and in no log.
-        let before = self.lines.iter().filter(|l| l.text.starts_with(step::TAKEN_UP));
-        let unsent = count(step::CALL) == 0 && before.into_iter().all(|l| l.text.contains(" 0 calls made"));
+        let unsent = count(step::CALL) == 0 && taken_up().all(|t| t.contains(" 0 calls made"));
         let held = self.up().is_some_and(|up| newest < up);
-        let failed = |end: &&str| end.contains(" Undeliverable");
-        let late = ends.iter().any(|e| e.ends_with(" 0ns left"));
+        let failed = ends().any(|e| e.contains(" Undeliverable"));
+        let late = ends().any(|e| e.ends_with(" 0ns left"));
         // Its time ran out between two processes: nobody could have been in time.
-        let gone = self
-            .lines
-            .iter()
-            .any(|l| l.text.strip_prefix(step::TAKEN_UP).is_some_and(|t| t.starts_with("0ns ")));
+        let gone = taken_up().any(|t| t.starts_with("0ns "));
         // A process that was killed between the end and its telling tells it again, and logs no second end.
         let faults = [
-            (owed && !held && ends.is_empty() && count(step::TOLD) == 0, Wrong::NoEnd),
+            (owed && !held && count(step::ENDED) + count(step::TOLD) == 0, Wrong::NoEnd),
             (late && !gone, Wrong::Late),
-            (unsent && ends.iter().any(failed), Wrong::FailedUnsent),
-            (ends.len() > count(step::TAKEN_ON).max(1), Wrong::TwoEnds),
+            (unsent && failed, Wrong::FailedUnsent),
+            (count(step::ENDED) > count(step::TAKEN_ON).max(1), Wrong::TwoEnds),
         ];
         faults.into_iter().filter(|f| f.0).map(|f| f.1).collect()
     }
--- a/tests/sockets/long_day.rs
+++ b/tests/sockets/long_day.rs
@@ -23,17 +23,27 @@
         rig.take_on(&message(id));
         rig.call().answer(Answer::Delivered);
     }
+    replace(rig, round, address);
+    ids
+}
+
+/// Another machine takes over the address of a round's provider.
+fn replace(rig: &mut Rig<Http>, round: usize, address: SocketAddr) {
     rig.discovery.list(&format!("p{round}"), address, "a", Http::KIND, "left");
     rig.discovery.list(&format!("p{}", round + 1), address, "a", Http::KIND, "active");
     rig.program.says(&format!("provider p{} ", round + 1));
-    ids
+}
+
+/// Where the one provider listens.
+fn listed(rig: &Rig<Http>) -> SocketAddr {
+    rig.discovery.targets()[0]["endpoint"].as_str().expect("text").parse().expect("an address")
 }
 
 #[test]
 fn tables_stay_bounded_as_ids_keys_and_providers_are_replaced() {
     const ROUNDS: usize = 12;
     let mut rig = Rig::<Http>::start(&[("p0", "a")]);
-    let address = rig.discovery.targets()[0]["endpoint"].as_str().expect("text").parse().expect("an address");
+    let address = listed(&rig);
     let ids: Vec<String> = (0..ROUNDS).flat_map(|r| round(&mut rig, r, 20, address)).collect();
     // One that was being written while the last round ended may be older.
     let _ = sizes(&mut rig);
@@ -68,7 +78,7 @@
     let span = std::env::var("SOAK_S").ok().and_then(|s| s.parse().ok()).unwrap_or(120);
     let (start, span) = (Instant::now(), Duration::from_secs(span));
     let mut rig = Rig::<Http>::start(&[("p0", "a")]);
-    let address = rig.discovery.targets()[0]["endpoint"].as_str().expect("text").parse().expect("an address");
+    let address = listed(&rig);
     let mut ids = Vec::new();
     for r in 0.. {
         if start.elapsed() > span {
@@ -91,7 +101,7 @@
 fn descriptors_and_memory_stay_flat_as_clients_ids_and_providers_are_replaced() {
     const ROUNDS: usize = 8;
     let mut rig = Rig::<Http>::start_narrow(&[("p0", "a")], 128);
-    let address = rig.discovery.targets()[0]["endpoint"].as_str().expect("text").parse().expect("an address");
+    let address = listed(&rig);
     let (mut kept, mut seen) = (Vec::new(), Vec::new());
     for round in 0..ROUNDS {
         for i in 0..40 {
@@ -102,10 +112,7 @@
             kept.push(stream);
             rig.call().answer(Answer::Delivered);
         }
-        // Another machine takes over the address.
-        rig.discovery.list(&format!("p{round}"), address, "a", Http::KIND, "left");
-        rig.discovery.list(&format!("p{}", round + 1), address, "a", Http::KIND, "active");
-        rig.program.says(&format!("provider p{} ", round + 1));
+        replace(&mut rig, round, address);
         seen.push((rig.program.descriptors(), rig.program.memory()));
     }
     let (early, late) = seen.split_at(ROUNDS / 2);
