--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dice;
 pub mod done;
 pub mod experiment;
+pub mod journal;
 pub mod load;
 pub mod log;
 pub mod partner;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 use raildeal_lab::day::Day;
 use raildeal_lab::done::Done;
 use raildeal_lab::experiment::{set, Cell, Experiment};
+use raildeal_lab::journal;
 use raildeal_lab::load::clients::{load, Plan};
 use raildeal_lab::load::{partners, Front};
 use raildeal_lab::log::{line, Fact, See};
@@ -90,6 +91,14 @@
         #[arg(long)]
         find_p99_ms: Option<f64>,
     },
+    /// List the runs of the standing test, from the records of the operators' benches.
+    Journal {
+        /// The folder of the records.
+        folder: PathBuf,
+        /// As CSV, not as a table in Markdown.
+        #[arg(long)]
+        csv: bool,
+    },
     /// Stand in for a day's partners; `load` starts it.
     #[command(hide = true)]
     StandIn {
@@ -194,6 +203,23 @@
     Ok(cells.iter().flat_map(|c| &c.played).filter(own).all(|p| p.broken.is_empty()))
 }
 
+/// Tells the runs in a folder of records; false if there are none.
+fn journal(folder: &Path, csv: bool) -> Result<bool, String> {
+    let journal = match journal::read(folder) {
+        Ok(journal) => journal,
+        Err(e) => {
+            eprintln!("raildeal-lab: {e}");
+            return Ok(false);
+        }
+    };
+    for (why, files) in &journal.skipped {
+        eprintln!("skipped, {why}: {}", files.join(" "));
+    }
+    let table = if csv { journal.csv().map_err(|e| e.to_string())? } else { journal.markdown() };
+    print!("{table}");
+    Ok(true)
+}
+
 /// Steps of a search between a rate that is kept and one that is not.
 const STEPS: u32 = 5;
 
@@ -254,6 +280,7 @@
             let day = Day::read(&file).map_err(|e| e.to_string());
             day.and_then(|day| partners::serve(&day, seed, front).map(|()| true).map_err(|e| e.to_string()))
         }
+        Command::Journal { folder, csv } => journal(&folder, csv),
         Command::Sweep { file, to, resume, cores, png } => sweep(&file, &to, cores, png, resume),
         Command::Report { folder, png } => {
             let read = Done::cells(&folder).map_err(|e| e.to_string());
