Spread asks for the list over the time all of them need, and call nobody by a list unseen

Seen from outside: a directory of 55 ms an ask that fails asks after 3 s and works them off all the same told 300 starting senders after 105.9 s, 962 of 1,262 asks failed. The lines at fault are `ask_in` in src/fleet.rs: 300 asks need 16.5 s, but were spread over 6 s (0.6 of mustAskIn) and, after a failure, drawn again into the same backlog.

`src/asking.rs` replaces it: asks go evenly over what all need less what may stand in the directory's line, with chance kept; what an ask costs is learned from answers and failures; an ask that failed in the line waits until the line is gone; while nobody is there each sender keeps its place in the row. An ask in the line is waited for up to 6 s. Where that is more than mustAskIn, the module logs so, and a sender that counts as told calls nobody until it asks (`blind`): the rule on drains goes before service, decided in this one place and tested with a directory silent for 5, 10 and 30 s.

Ways not taken: twice the cost after a failure (231 s there), four times (162 s), a spread within mustAskIn (the directory collapses).

--- /dev/null
+++ b/src/asking.rs
@@ -0,0 +1,261 @@
+//! When one of many senders asks the directory for its list, and what it may do meanwhile.
+//!
+//! The directory serves asks one after another, fails those that wait too long and works them off all the same. Senders that ask
+//! in step get nothing from it, and neither do those that ask again before it is through. So asks are spread over the time that
+//! the directory needs for all of them, with as much of its own patience taken off as chance leaves; what asks cost, and whether
+//! it is too much, is learned from the answers. No I/O, no clock; the caller brings time and randomness.
+
+use crate::state::{secs, to_secs};
+use crate::Time;
+
+/// Senders from which on asks are spread.
+const MANY: u32 = 10;
+/// What one ask costs the directory until an answer has shown more, in seconds: 55 ms seen.
+const COST: f64 = 0.055;
+/// Least and most that is believed of it. Under the least the spread is of no use, over the most a fleet would never be told.
+const COSTS: (f64, f64) = (0.002, 1.0);
+/// How long asks may stand in the directory's line, in seconds: it gives up after 3 s, and the way there takes some of it.
+const LINE: f64 = 2.9;
+/// Standard deviations, in the middle of the span, by which asks may come earlier than evenly before some of them fail: the line
+/// of one start in 460 is longer somewhere (exp(-CHANCE^2 / 2)).
+const CHANCE: f64 = 3.5;
+/// An ask that failed after so long stood in a line (s); one that failed sooner found nobody there.
+const STOOD: f64 = 1.0;
+/// How many times dearer asks are taken to be once one failed in the line. Twice leaves a directory at a third of its speed with
+/// a line that never ends for minutes (told after 231 s, ideal 50 s), four times makes the quick ones wait: 120 s and 162 s.
+const DEARER: f64 = 3.0;
+/// What one of few waits after its first failure, and at most, in seconds; it doubles with each.
+const GAPS: (f64, f64) = (0.5, 4.0);
+/// How many times longer a list counts as true after an ask that failed than after none, by the settings' page.
+const FAILED: Time = 4;
+/// How long the answer to an ask is waited for, in seconds: least, and most where many ask.
+const ANSWER: (f64, f64) = (3.0, 6.0);
+
+/// Seconds over which `relays` senders spread asks that cost the directory so many seconds each.
+pub fn span(relays: u32, cost: f64) -> f64 {
+    if relays < MANY {
+        return 0.0;
+    }
+    let all = f64::from(relays) * cost;
+    // After a part u of the span, asks that are drawn evenly are behind by u * spared on an average, and by chance * sqrt(u - u^2)
+    // more. The largest sum of both is (spared + sqrt(spared^2 + chance^2)) / 2, which is to be no more than the line.
+    let chance = CHANCE * cost * f64::from(relays).sqrt();
+    let spared = LINE - chance * chance / (4.0 * LINE);
+    // With a tenth to spare the line is as short as it gets.
+    (all - spared).clamp(all / 2.0, all * 1.1)
+}
+
+/// How long the answer to an ask is waited for, in seconds. One that stands in a long line is not given up early: it would be
+/// worked off all the same, and the next one stood behind it.
+pub fn patience(relays: u32) -> f64 {
+    (f64::from(relays) * COST).clamp(ANSWER.0, ANSWER.1)
+}
+
+/// One sender's asks.
+#[derive(Debug, Default)]
+pub struct Asking {
+    relays: u32,
+    /// Longest time without an ask or a watch (0: no bound), by the settings.
+    within: Time,
+    /// What an ask costs the directory, as far as seen (s).
+    cost: f64,
+    /// Failures in a row, since the last answer.
+    failures: i32,
+    /// When to ask next.
+    next: Option<Time>,
+    /// When the ask that is out began.
+    asked: Option<Time>,
+    /// The list is told as it changes.
+    watching: bool,
+    /// From when on what has changed counts as told, though nobody told it.
+    told_at: Option<Time>,
+}
+
+impl Asking {
+    /// A sender that starts at `now`; `within` is the longest time without an ask, 0 for no bound. `draw` gives a number evenly
+    /// from 0 to 1.
+    pub fn start(now: Time, relays: u32, within: Time, draw: impl FnOnce() -> f64) -> Self {
+        let mut asking = Asking { relays, within, cost: COST, ..Asking::default() };
+        asking.next = Some(now + asking.spread(draw));
+        asking.counts_from(now, 1);
+        asking
+    }
+
+    /// Seconds that the directory needs for more asks in a row than the settings leave time for; none where it can bear them.
+    pub fn too_many(&self) -> Option<f64> {
+        let span = span(self.relays, self.cost);
+        (self.within > 0 && span > to_secs(self.within)).then_some(span)
+    }
+
+    fn spread(&self, draw: impl FnOnce() -> f64) -> Time {
+        match span(self.relays, self.cost) {
+            0.0 => 0,
+            span => secs(draw() * span),
+        }
+    }
+
+    fn counts_from(&mut self, now: Time, times: Time) {
+        self.told_at = (self.within > 0).then(|| now + times * self.within);
+    }
+
+    /// Whether an ask is due; it is out from then on.
+    pub fn due(&mut self, now: Time) -> bool {
+        let due = self.next.take_if(|t| *t <= now).is_some();
+        if due {
+            self.asked = Some(now);
+            self.counts_from(now, 1);
+        }
+        due
+    }
+
+    /// The directory answered, or told of a change.
+    pub fn heard(&mut self, now: Time) {
+        // A list that was there from the start answers no ask.
+        if let Some(asked) = self.asked.take() {
+            let took = to_secs(now - asked);
+            self.cost = self.cost.min(took).max(COSTS.0);
+            (self.watching, self.next, self.failures, self.told_at) = (true, None, 0, None);
+        }
+    }
+
+    /// An ask failed, or a watch ended.
+    pub fn failed(&mut self, now: Time, draw: impl FnOnce() -> f64) {
+        let asked = self.asked.take();
+        if asked.is_none() && self.next.is_some() {
+            return; // nothing was out, and the next ask is settled
+        }
+        let gap = secs((GAPS.0 * 2f64.powi(self.failures)).min(GAPS.1));
+        self.failures = (self.failures + 1).min(8);
+        let Some(asked) = asked else {
+            // All may have lost their watches at once.
+            self.watching = false;
+            self.counts_from(now, 1);
+            self.next = Some(now + gap + self.spread(draw));
+            return;
+        };
+        self.counts_from(asked, FAILED);
+        if to_secs(now - asked) >= STOOD {
+            // The line was too long: the asks of all cost more than was thought.
+            // What stands in it is worked off first, also the asks that failed.
+            self.cost = (self.cost * DEARER).min(COSTS.1);
+            self.next = Some(now + gap + secs(span(self.relays, self.cost)) + self.spread(draw));
+        } else {
+            // Nobody is there. Each keeps its place in the row, so that the line is no longer when somebody is.
+            self.next = Some((asked + secs(span(self.relays, self.cost))).max(now + gap));
+        }
+    }
+
+    /// When the next ask is due.
+    pub fn next(&self) -> Option<Time> {
+        self.next
+    }
+
+    /// Whether the list has gone without a word for so long that whatever changed counts as told. What may be called is not
+    /// known then, and nothing new is called.
+    pub fn blind(&self, now: Time) -> bool {
+        !self.watching && self.told_at.is_some_and(|at| now >= at)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::{Random, SEC};
+
+    #[test]
+    fn few_ask_at_once_and_wait_longer_with_each_failure() {
+        let never = || unreachable!("few draw nothing");
+        let mut asking = Asking::start(SEC, 3, 10 * SEC, never);
+        let mut now = SEC;
+        for gap in [500, 1_000, 2_000, 4_000, 4_000] {
+            assert!(asking.due(now) && !asking.due(now), "once each");
+            asking.failed(now, never);
+            assert_eq!(asking.next(), Some(now + gap * crate::state::MS));
+            now = asking.next().expect("due");
+        }
+        assert!(asking.due(now));
+        asking.heard(now);
+        assert_eq!(asking.next(), None);
+        asking.failed(now + SEC, never);
+        assert_eq!(asking.next(), Some(now + SEC + SEC / 2), "an answer ends the row of failures");
+    }
+
+    #[test]
+    fn asks_are_spread_over_the_time_that_all_need_less_what_may_stand_in_line() {
+        for (relays, most) in [(10, 0.3), (100, 3.0), (300, 14.5), (3_000, 172.0)] {
+            let mut random = Random::new(7);
+            let mut at: Vec<Time> = (0..relays)
+                .map(|_| Asking::start(0, relays, 0, || random.draw()).next().expect("due"))
+                .collect();
+            at.sort();
+            let last = to_secs(*at.last().expect("one"));
+            assert!(last <= most && last > 0.7 * most, "{relays}: {last}");
+        }
+    }
+
+    #[test]
+    fn what_asks_cost_is_learned_and_bounded() {
+        let ask = |asking: &mut Asking, after: f64, answered: bool| {
+            let now = asking.next().expect("settled");
+            assert!(asking.due(now));
+            if answered {
+                asking.heard(now + secs(after));
+                asking.failed(now + secs(after), || 1.0);
+            } else {
+                asking.failed(now + secs(after), || 1.0);
+            }
+            to_secs(asking.next().expect("settled") - now)
+        };
+        let mut asking = Asking::start(0, 300, 0, || 0.5);
+        assert!(
+            (100.0..120.0).contains(&ask(&mut asking, 3.0, false)),
+            "a line too long is let go and made far less dense"
+        );
+        (0..20).for_each(|_| _ = ask(&mut asking, 3.0, false));
+        assert!(ask(&mut asking, 3.0, false) < 670.0);
+        assert!(ask(&mut asking, 0.010, true) < 3.0, "a quick directory needs less");
+        (0..20).for_each(|_| _ = ask(&mut asking, 0.0, true));
+        assert!(ask(&mut asking, 0.0, true) >= 0.5);
+    }
+
+    #[test]
+    fn a_directory_that_is_not_there_is_asked_in_the_same_row_again_and_again() {
+        let mut random = Random::new(7);
+        let mut all: Vec<Asking> = (0..300).map(|_| Asking::start(0, 300, 0, || random.draw())).collect();
+        let mut asks = vec![0; 60];
+        for ms in (0..60_000).step_by(10) {
+            let now = ms * crate::state::MS;
+            for asking in &mut all {
+                if asking.due(now) {
+                    asks[ms as usize / 1_000] += 1;
+                    asking.failed(now, || unreachable!("nothing is drawn"));
+                }
+            }
+        }
+        assert!(asks.iter().all(|n| (8..35).contains(n)), "{asks:?}");
+    }
+
+    #[test]
+    fn a_list_counts_as_told_after_the_time_that_the_settings_say_and_four_times_it_after_a_failure() {
+        let mut asking = Asking::start(0, 300, 10 * SEC, || 0.9);
+        assert!(!asking.blind(10 * SEC - 1) && asking.blind(10 * SEC));
+        assert!(asking.due(14 * SEC) && !asking.blind(15 * SEC), "asking counts");
+        asking.failed(17 * SEC, || 0.0);
+        assert!(!asking.blind(54 * SEC - 1) && asking.blind(54 * SEC));
+        let next = asking.next().expect("settled");
+        assert!(asking.due(next));
+        asking.heard(next + SEC);
+        assert!(!asking.blind(next + 900 * SEC), "a watch tells");
+        asking.failed(next + 900 * SEC, || 1.0);
+        assert!(!asking.blind(next + 909 * SEC) && asking.blind(next + 910 * SEC));
+        assert!(!Asking::start(0, 300, 0, || 1.0).blind(900 * SEC), "no bound is set");
+    }
+
+    #[test]
+    fn a_fleet_that_the_directory_cannot_bear_in_time_is_told_of() {
+        let start = |relays| Asking::start(0, relays, 10 * SEC, || 0.0);
+        assert_eq!(start(200).too_many(), None);
+        assert!(start(300).too_many().is_some_and(|s| (14.0..15.0).contains(&s)));
+        assert_eq!((patience(3), patience(100), patience(3_000)), (3.0, 5.5, 6.0));
+    }
+}
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// The directory answered an ask, whatever it has to tell.
+    pub fn list_heard(&self) {
+        self.turn(Event::ListChanges(Vec::new()));
+    }
+
     /// The directory could not be asked, or stopped telling.
     pub fn list_failed(&self) {
         self.turn(Event::ListFailed);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -23,31 +23,6 @@
 /// A pace never falls under this part of the sender's own, or it would learn of no recovery.
 const LEAST: f64 = 0.05;
 
-/// Time that the directory spends on one sender that asks: it serves them one after another (55 ms seen).
-const ASK: f64 = 0.06;
-/// Most of the time for all asks that the spread may be: asks that were given up are worked off meanwhile.
-const FAR: f64 = 4.0;
-/// What one of few waits after its first failure, in seconds; it doubles with each.
-const FIRST_GAP: f64 = 0.5;
-/// Part of the longest time without asking that a pause before the next ask may take: the ask itself waits its turn.
-const ASK_MOST: f64 = 0.6;
-
-/// Seconds until one of many asks for the list (again): so spread that the directory can serve all of them one after
-/// another, though all lost it, or started, at the same moment. `gap` (s) is what one of few would wait, `within` the
-/// longest time without asking (s; 0: no bound), `draw` gives a number evenly from 0 to 1.
-pub fn ask_in(gap: f64, relays: u32, within: f64, draw: impl FnOnce() -> f64) -> f64 {
-    if relays < MANY {
-        return gap;
-    }
-    let span = f64::from(relays) * ASK;
-    let most = if within > 0.0 { ASK_MOST * within } else { f64::INFINITY };
-    if span <= most {
-        return (gap + draw() * span).min(most);
-    }
-    // A directory that can't serve so many in that time soon serves none, unless each failure makes them spread further.
-    gap + draw() * (most * (gap / FIRST_GAP).max(1.0)).min(FAR * span)
-}
-
 /// Seconds for which a partner that failed a call `dt` seconds ago has probably been back, where one of many has not
 /// called it since: it may have come back at any moment between. One of few would have tried it by then: 0.
 pub fn unseen(dt: f64, relays: u32) -> f64 {
@@ -183,25 +158,6 @@
         assert!(high <= 2.0 * part.opening() && part.rested(high, 60.0) == high);
     }
 
-    #[test]
-    fn many_ask_one_after_another_within_the_time_they_have_and_few_as_before() {
-        assert_eq!(ask_in(0.5, 3, 10.0, || unreachable!("few draw nothing")), 0.5);
-        let mut random = crate::state::Random::new(7);
-        let mut asks: Vec<f64> = (0..100).map(|_| ask_in(0.5, 100, 10.0, || random.draw())).collect();
-        asks.sort_by(f64::total_cmp);
-        assert!(asks[0] >= 0.5 && asks[99] <= 6.0, "{asks:?}");
-        let most = (0..100).map(|i| asks[i..].iter().take_while(|a| **a < asks[i] + 1.0).count()).max();
-        assert!(most <= Some(30), "{most:?} in a second");
-        let at_most = |gap| ask_in(gap, 10_000, 10.0, || 1.0);
-        assert!(at_most(0.0) <= 6.0 && at_most(0.5) <= 6.5 && at_most(2.0) > 24.0 && at_most(4.0) < 60.0);
-        assert_eq!(ask_in(0.0, 10_000, 0.0, || 1.0), 600.0);
-        assert_eq!(
-            ask_in(4.0, 10, 0.0, || 0.0),
-            4.0,
-            "without a bound nothing cuts what one of few would wait"
-        );
-    }
-
     #[test]
     fn one_of_many_takes_a_return_for_half_as_old_as_its_last_failure() {
         assert_eq!((unseen(6.0, 100), unseen(6.0, 3)), (3.0, 0.0));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod asking;
 pub mod config;
 pub mod core;
 pub mod door;
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 use clap::Parser;
 use cli::{Cli, Command};
 use futures_lite::{Future, FutureExt, StreamExt};
+use raildeal::asking;
 use raildeal::config::{script, Config, Updates};
 use raildeal::core::desk::{Desk, Hands};
 use raildeal::core::directory::{Directory, Provider};
@@ -255,7 +256,8 @@
         keep(&executor, sizes(house.clone(), invoker.clone(), notices));
     }
     if let Some(discovery) = discovery.clone() {
-        let watch = Watch { discovery, desk: desk.clone(), directory, wheel: wheel.clone() };
+        let patience = Duration::from_secs_f64(asking::patience(house.settings.relays));
+        let watch = Watch { discovery, desk: desk.clone(), directory, wheel: wheel.clone(), patience };
         keep(&executor, async move { watch.run(asked).await });
     }
     for record in unfinished {
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -12,8 +12,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The answer to a watch may wait behind other calls for so long.
-const HEAD: Duration = Duration::from_millis(3000);
 /// A line comes every 2 s at least; a watch silent for this long is dead, though its connection may look open.
 const SILENCE: Duration = Duration::from_millis(3500);
 /// Longest line taken.
@@ -29,6 +27,8 @@
     pub directory: Rc<Directory>,
     /// The timers.
     pub wheel: Rc<Wheel>,
+    /// The answer to a watch may wait behind other calls for so long.
+    pub patience: Duration,
 }
 
 impl Watch {
@@ -53,8 +53,9 @@
     }
 
     async fn follow(&self) -> io::Result<()> {
-        let opened = self.wheel.limit(HEAD, self.open()).await;
+        let opened = self.wheel.limit(self.patience, self.open()).await;
         let (mut stream, body) = opened.ok_or(io::ErrorKind::TimedOut)??;
+        self.desk.list_heard();
         let (mut text, mut chunks) = (Vec::new(), Chunks::default());
         loop {
             let ended = match body {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,7 +3,8 @@
 //! Ordinary path (the post's dispatcher): a [`Dispatcher`] per destination serves one line, pauses all sends
 //! for the longest told wait, sends refused calls again first, bounds calls by a pool; `docs/design.md`.
 
-use crate::fleet::{ask_in, lot, unseen, Part, Traffic};
+use crate::asking::Asking;
+use crate::fleet::{lot, unseen, Part, Traffic};
 use crate::interface::*;
 use crate::links::Reaper;
 use crate::state::*;
@@ -74,6 +75,8 @@
 const LOG_LINES: u32 = 150;
 /// Time kept for the answer to travel: a message with less left is given up.
 const LAST_CALL: Time = 250 * MS;
+/// How often a sender that counts as told of what it does not know looks whether it still does.
+const BLIND_LOOK: Time = 50 * MS;
 
 impl Host {
     fn new(l: &Listing, now: Time) -> Self {
@@ -189,8 +192,7 @@
     now: Time,
     wake_at: Time,
     sweep_at: Time,
-    watch_at: Option<Time>,
-    watch_gap: Time,
+    asking: Option<Asking>,
     logs: u32,
     out: Vec<Action>,
 }
@@ -213,7 +215,6 @@
             lore: vec![Lore { told: to_secs(OWN_PAUSE), room: 0.5, ..Lore::default() }; kinds],
             s: settings,
             random: Random::new(seed),
-            watch_gap: SEC / 2,
             ..Relay::default()
         })
     }
@@ -224,16 +225,21 @@
         let now = self.now;
         if self.start == 0 {
             (self.start, self.traffic) = (now, Traffic::new(now));
-            self.watch_at = self.s.ask_list.then_some(now + self.ask_in(0));
+            let (relays, within) = (self.s.relays, self.s.ask_within);
+            self.asking = self.s.ask_list.then(|| Asking::start(now, relays, within, || self.random.draw()));
+            if let Some(span) = self.asking.as_ref().and_then(Asking::too_many) {
+                self.log(format!(
+                    "asks of {relays} senders take the directory {span:.1} s, more than mustAskIn"
+                ));
+            }
             self.tenant_rate.iter_mut().for_each(|t| *t = Meter::new(now, RATE.0));
         }
         for e in events {
             match e {
                 Event::List(l) | Event::CachedList(l) => self.list(now, l, true),
                 Event::ListChanges(l) => self.list(now, l, false),
-                Event::ListFailed if self.s.ask_list => {
-                    self.watch_at = Some(now + self.ask_in(self.watch_gap));
-                    self.watch_gap = (self.watch_gap * 2).min(4 * SEC);
+                Event::ListFailed => {
+                    self.asking.iter_mut().for_each(|a| a.failed(now, || self.random.draw()));
                 }
                 Event::Arrived(m) => self.arrived(now, *m, Held::default()),
                 Event::Resumed { message, past } => self.arrived(now, *message, Held::resumed(now, past)),
@@ -244,10 +250,10 @@
                     }
                 }
                 Event::Withdrawn(id) => self.forget(*id),
-                Event::Probed { .. } | Event::ListFailed | Event::Woken => {}
+                Event::Probed { .. } | Event::Woken => {}
             }
         }
-        if self.watch_at.take_if(|t| *t <= now).is_some() {
+        if self.asking.as_mut().is_some_and(|a| a.due(now)) {
             self.out.push(Action::WatchList);
         }
         self.give_up(now);
@@ -269,12 +275,6 @@
         ]
     }
 
-    /// Time until the list is asked for, which one of few would do after `gap`.
-    fn ask_in(&mut self, gap: Time) -> Time {
-        let (relays, within) = (self.s.relays, to_secs(self.s.ask_within));
-        secs(ask_in(to_secs(gap), relays, within, || self.random.draw()))
-    }
-
     fn log(&mut self, text: String) {
         if self.logs < LOG_LINES {
             self.logs += 1;
@@ -283,7 +283,7 @@
     }
 
     fn list(&mut self, now: Time, lines: &[Listing], whole: bool) {
-        self.watch_gap = SEC / 2;
+        self.asking.iter_mut().for_each(|a| a.heard(now));
         let (mut stale, mut fresh, last_kind) = (Vec::new(), Vec::new(), self.lore.len() - 1);
         if whole {
             self.hosts.values_mut().for_each(|h| h.ready = false);
@@ -891,13 +891,15 @@
 
     fn pump(&mut self, now: Time) {
         let mut lines: BTreeMap<DestId, VecDeque<_>> = BTreeMap::new();
+        let blind = self.asking.as_ref().is_some_and(|a| a.blind(now));
         for dest in self.waiting.clone() {
             if self.dests[&dest].look_at > now {
                 continue;
             }
             let (line, later) = self.eligible(now, dest);
-            self.dest(dest).look_at = later.max(now + MS);
-            if !line.is_empty() && !self.dests[&dest].hosts.is_empty() {
+            // Blind, it calls nobody: what is listed may have drained, and the next ask is not far.
+            self.dest(dest).look_at = later.min(if blind { now + BLIND_LOOK } else { later }).max(now + MS);
+            if !blind && !line.is_empty() && !self.dests[&dest].hosts.is_empty() {
                 lines.insert(dest, line.into());
             }
         }
@@ -1026,7 +1028,10 @@
             self.keys.retain(|_, k| !k.turn.is_empty() || k.out > 0 || k.rest_until > now);
         }
         let lines = self.waiting.iter().map(|d| self.dests[d].look_at);
-        let next = lines.min().unwrap_or(Time::MAX).min(self.watch_at.unwrap_or(Time::MAX));
+        let next = lines
+            .min()
+            .unwrap_or(Time::MAX)
+            .min(self.asking.as_ref().and_then(Asking::next).unwrap_or(Time::MAX));
         let next = next.max(now + MS);
         if next < Time::MAX && (self.wake_at <= now || next < self.wake_at) {
             // In whole milliseconds: a coarser clock would else wake a trifle early, and never again.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -189,48 +189,156 @@
     assert!(f64::from(refused) < 0.2 * f64::from(taken), "{refused} refused, {taken} taken");
 }
 
-/// A fleet that starts at once, and two minutes later loses its watches at once: how many watch within two minutes, and
-/// when the last was told (ms). The directory works off asks one after another, also those it has given up.
-fn told(relays: u32) -> [(usize, Time); 2] {
-    const ASK: Time = 55 * MS;
-    const PATIENCE: Time = 2 * SEC;
+/// What a fleet's asks came to.
+#[derive(Debug, Default, PartialEq)]
+struct Told {
+    /// When the last was told, after all began (ms).
+    last: Time,
+    asks: u32,
+    /// Asks that failed, though the directory was there.
+    wasted: u32,
+}
+
+/// A fleet whose first so many senders begin at once, by a start or by the loss of their watches, after which the directory is
+/// not there for a while. It works off asks one after another in `ask` each, also those that it fails after 3 s.
+fn told(relays: u32, begin: u32, lost: bool, ask: Time, down: Time) -> Told {
+    const FAILS: Time = 3 * SEC;
     let asks = Settings { relays, ask_list: true, ask_within: 10 * SEC, ..settings() };
     let relay = |i| Relay::new(asks.clone(), 1000 + u64::from(i)).expect("usable settings");
-    let mut relays: Vec<Relay> = (0..relays).map(relay).collect();
-    let (mut queue, mut free_at) = (VecDeque::<(Time, usize)>::new(), 0);
-    [(0, 5 * SEC), (1, 125 * SEC)].map(|(round, begin)| {
-        let first = [Event::Woken, Event::ListFailed][..=round].to_vec();
-        let mut events: Vec<Vec<Event>> = vec![first; relays.len()];
-        let (mut watches, mut last) = (0, 0);
-        for now in (begin..begin + 120 * SEC).step_by(STEP as usize) {
-            for (i, relay) in relays.iter_mut().enumerate() {
-                let mut actions = Vec::new();
-                relay.handle(now, &std::mem::replace(&mut events[i], vec![Event::Woken]), &mut actions);
-                queue.extend(actions.contains(&Action::WatchList).then_some((now, i)));
-            }
-            for (_, i) in queue.iter().filter(|(asked, _)| *asked + PATIENCE == now) {
-                events[*i].push(Event::ListFailed);
+    let mut relays: Vec<Relay> = (0..begin).map(relay).collect();
+    let (mut queue, mut free_at, mut told) = (VecDeque::<(Time, usize)>::new(), 0, Told::default());
+    let mut start = 5 * SEC;
+    let mut events = vec![vec![Event::CachedList(Vec::new())]; relays.len()];
+    let mut wake = vec![Time::MAX; relays.len()];
+    if lost {
+        for relay in &mut relays {
+            relay.handle(start, &[Event::Woken], &mut Vec::new());
+            relay.handle(start + 300 * SEC, &[Event::Woken], &mut Vec::new());
+            relay.handle(start + 300 * SEC + ask, &[Event::ListChanges(Vec::new())], &mut Vec::new());
+        }
+        start += 400 * SEC;
+        events = vec![vec![Event::ListFailed]; relays.len()];
+    }
+    let mut watching = vec![false; relays.len()];
+    for now in (start..start + 2_000 * SEC).step_by(STEP as usize) {
+        for (i, relay) in relays.iter_mut().enumerate() {
+            if events[i].is_empty() && now < wake[i] {
+                continue;
             }
-            while let Some((asked, i)) = queue.front().copied().filter(|_| free_at <= now) {
-                queue.pop_front();
-                free_at = now + ASK;
-                if now < asked + PATIENCE {
-                    events[i].push(Event::ListChanges(Vec::new()));
-                    (watches, last) = (watches + 1, (now - begin) / MS);
+            let mut actions = Vec::new();
+            relay.handle(now, &std::mem::take(&mut events[i]), &mut actions);
+            let again = actions.iter().rev().find_map(|a| match a {
+                Action::WakeAfter(after) => Some(now + after),
+                _ => None,
+            });
+            wake[i] = again.unwrap_or(if wake[i] <= now { Time::MAX } else { wake[i] });
+            if actions.contains(&Action::WatchList) {
+                assert!(!watching[i], "asked while it watches");
+                if now < start + down {
+                    events[i].push(Event::ListFailed);
+                } else {
+                    told.asks += 1;
+                    queue.push_back((now, i));
                 }
             }
-            if watches == relays.len() && queue.is_empty() {
-                break;
+        }
+        for (_, i) in queue.iter().filter(|(asked, _)| *asked + FAILS == now) {
+            told.wasted += 1;
+            events[*i].push(Event::ListFailed);
+        }
+        while let Some((asked, i)) = queue.front().copied().filter(|_| free_at <= now) {
+            queue.pop_front();
+            free_at = free_at.max(asked) + ask;
+            if now < asked + FAILS {
+                events[i].push(Event::ListChanges(Vec::new()));
+                (watching[i], told.last) = (true, (now - start) / MS);
             }
         }
-        (watches, last)
-    })
+        if watching.iter().all(|w| *w) && queue.is_empty() {
+            return told;
+        }
+    }
+    panic!("{} of {} told in 2,000 s: {told:?}", watching.iter().filter(|w| **w).count(), watching.len());
 }
 
 #[test]
-fn a_fleet_that_starts_at_once_and_loses_its_watches_at_once_is_told_the_list_soon() {
-    for (watches, last) in told(100) {
-        assert!(watches == 100 && last < 12_000, "{watches} watch, the last told after {last} ms");
+fn a_fleet_that_starts_or_returns_or_loses_its_watches_is_told_in_the_time_that_all_asks_need() {
+    for (relays, begin, lost) in [(100, 100, false), (300, 300, false), (300, 210, false), (300, 300, true)] {
+        let told = told(relays, begin, lost, 55 * MS, 0);
+        let ideal = u64::from(begin) * 55;
+        assert!(told.last * 10 < ideal * 13, "{relays} {begin} {lost}: {told:?}");
+        assert!(told.wasted * 20 < told.asks, "{relays} {begin} {lost}: {told:?}");
+    }
+}
+
+#[test]
+fn a_fleet_is_told_soon_by_a_directory_that_comes_back_or_is_slow_and_does_not_run_it_over() {
+    // Back after 60 s, at a third of its speed, and larger fleets than it can serve in the time that the settings leave.
+    let cases = [
+        (300, 55, 60, 1.5),
+        (300, 165, 0, 3.0),
+        (1_000, 55, 0, 1.3),
+        (1_000, 55, 60, 1.5),
+        (3_000, 55, 0, 1.3),
+    ];
+    for (relays, ask, down, most) in cases {
+        let told = told(relays, relays, false, ask * MS, down * SEC);
+        let ideal = (u64::from(relays) * ask) as f64;
+        assert!(((told.last - down * 1_000) as f64) < most * ideal, "{relays} {ask} {down}: {told:?}");
+        assert!(told.asks <= 3 * relays, "{relays} {ask} {down}: {told:?}");
+    }
+}
+
+/// In which seconds after a start a sender of 300 calls, with a message a second, where its first ask comes at some time and the
+/// directory answers nothing until `silent`.
+fn calls_of_one(asks_after: bool, silent: Time) -> Vec<Time> {
+    let asks = Settings { relays: 300, ask_list: true, ask_within: 10 * SEC, slots: 50, ..settings() };
+    let line = Listing { rate: 3_000.0, ..common::ready(1, 1) };
+    let first_ask = |seed| {
+        let mut d = common::Driver::new(asks.clone(), Vec::new());
+        d.relay = Relay::new(asks.clone(), seed).expect("usable settings");
+        (0..20).find(|_| d.pass(SEC).contains(&Action::WatchList)).expect("asks")
+    };
+    let seed = (1..).find(|seed| if asks_after { first_ask(*seed) >= 12 } else { first_ask(*seed) < 9 });
+    let mut d = common::Driver::new(asks.clone(), Vec::new());
+    d.relay = Relay::new(asks.clone(), seed.expect("one of them")).expect("usable settings");
+    d.give(Event::CachedList(vec![line]));
+    let (mut called, mut asked) = (Vec::new(), None);
+    for second in 0..45 {
+        let mut seen = d.arrive(second, 0, 1);
+        for _ in 0..10 {
+            seen.extend(d.pass(100 * MS));
+            asked = if seen.contains(&Action::WatchList) { Some(d.now) } else { asked };
+            if asked.is_some_and(|at| d.now >= at + 3 * SEC) {
+                seen.extend(d.give(Event::ListFailed));
+                asked = None;
+            }
+            if asked.is_some() && Time::from(second) * SEC >= silent {
+                seen.extend(d.give(Event::ListChanges(Vec::new())));
+                asked = None;
+            }
+            seen.retain(|a| *a != Action::WatchList);
+        }
+        let sent = common::sends(&seen);
+        sent.iter().for_each(|id| drop(d.end(*id, Outcome::Ok)));
+        called.extend((!sent.is_empty()).then_some(Time::from(second)));
+    }
+    called
+}
+
+#[test]
+fn one_that_has_not_asked_for_so_long_that_drains_count_as_told_calls_nobody_until_it_asks() {
+    // Its turn to ask comes after the 10 s that the settings leave: what the list says is not to be trusted in between.
+    for silent in [5, 10, 30] {
+        let called = calls_of_one(true, silent * SEC);
+        assert!((0..10).all(|s| called.contains(&s)), "{silent}: {called:?}");
+        assert!(!called.contains(&10) && !called.contains(&11), "{silent}: {called:?}");
+        assert!((18..40).all(|s| called.contains(&s)), "{silent}: {called:?}");
+    }
+    // One whose turn comes sooner goes on by the list, also while its asks fail.
+    for silent in [5, 10, 30] {
+        let called = calls_of_one(false, silent * SEC);
+        assert!((0..40).all(|s| called.contains(&s)), "{silent}: {called:?}");
     }
 }
 
@@ -273,7 +381,12 @@
     }
     d.seen.clear();
     let mut calls = 0;
-    while calls == 0 {
+    // The return is drawn, and may come after the time of those that were there at first.
+    for id in 100.. {
+        if calls > 0 {
+            break;
+        }
+        d.arrive(id, 0, 1);
         let sent = common::sends(&d.pass(100 * MS));
         sent.iter().for_each(|id| drop(d.end(*id, Outcome::Ok)));
         calls += sent.len();
@@ -290,12 +403,24 @@
 #[test]
 #[ignore = "a table to read"]
 fn figures_by_number_of_senders() {
-    for relays in [3, 10, 30, 100, 300] {
-        let taken = returned(relays);
+    for relays in [3, 10, 30, 100, 300, 1_000, 3_000] {
+        let by = |begin, lost, ask, down| told(relays, begin, lost, ask * MS, down * SEC);
+        println!(
+            "{relays} senders: start {:?}, seven in ten {:?}",
+            by(relays, false, 55, 0),
+            by(relays * 7 / 10, false, 55, 0)
+        );
         println!(
-            "{relays} senders: told {:?}, taken after an outage {} {taken:?}",
-            told(relays),
-            taken.iter().sum::<u32>()
+            "  lost watches {:?}, back after 60 s {:?}",
+            by(relays, true, 55, 0),
+            by(relays, true, 55, 60)
         );
+        if relays < 3_000 {
+            println!("  a third of the speed {:?}", by(relays, false, 165, 0));
+        }
+    }
+    for relays in [3, 10, 30, 100, 300] {
+        let taken = returned(relays);
+        println!("{relays} senders: taken after an outage {} {taken:?}", taken.iter().sum::<u32>());
     }
 }
