Start many processes beside a directory with a queue, with kills and stops between them

How a fleet behaves when parts fail was seen from outside only. The workspace member `rig/` starts N processes of the real program with folders of their own, a directory that serves asks one after another and fails those that waited 3 s, partners, and clients; one record holds what the stand-ins saw, and its three checks are shown to fire on planted breaches. `raildeal-lab fleet cold-start` plays the same at size with any program.

SIGHUP twice in quick order and in the middle of a take-up passed as the program was; both are tests now.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,10 +13,13 @@
 use raildeal_lab::policies::Policy;
 use raildeal_lab::report;
 use raildeal_lab::run::{play, Played};
+use raildeal_rig::cold_start;
+use raildeal_rig::record::Verdict;
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// A model of what raildeal balances, a tool for load, and experiments.
 #[derive(Parser)]
@@ -91,6 +94,28 @@
         #[arg(long)]
         find_p99_ms: Option<f64>,
     },
+    /// Start many processes of the real program with faults between them, and check the rules by what the stand-ins saw. The last
+    /// line is one JSON object.
+    Fleet {
+        /// What is played.
+        #[arg(value_enum)]
+        scenario: Scenario,
+        /// Processes.
+        #[arg(long, default_value_t = 30)]
+        senders: usize,
+        /// For all that is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The program; an older build plays beside a newer one.
+        #[arg(long, default_value = "target/release/raildeal")]
+        program: PathBuf,
+        /// What an ask for the list costs the directory, in milliseconds.
+        #[arg(long, default_value_t = 55)]
+        ask_ms: u64,
+        /// The directory is down from the start on for so many seconds.
+        #[arg(long, default_value_t = 0)]
+        down_s: u64,
+    },
     /// List the runs of the standing test, from the records of the operators' benches.
     Journal {
         /// The folder of the records.
@@ -110,6 +135,24 @@
     },
 }
 
+/// What many processes play.
+#[derive(Clone, Copy, clap::ValueEnum, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Scenario {
+    /// All start in the same moment, a third of their kept lists gone; seven in ten are killed and come back.
+    ColdStart,
+}
+
+/// The last line of a scenario.
+#[derive(serde::Serialize)]
+struct Last<'a> {
+    scenario: Scenario,
+    senders: usize,
+    seed: u64,
+    #[serde(flatten)]
+    played: &'a cold_start::Played,
+}
+
 /// Writes what happens to a file.
 struct Lines(BufWriter<File>, Option<std::io::Error>);
 
@@ -220,6 +263,16 @@
     Ok(true)
 }
 
+fn fleet(scenario: Scenario, plan: &cold_start::Plan) -> Result<bool, String> {
+    let (senders, seed) = (plan.senders, plan.seed);
+    let played = match scenario {
+        Scenario::ColdStart => cold_start::play(plan).map_err(|e| e.to_string())?,
+    };
+    let last = Last { scenario, senders, seed, played: &played };
+    println!("{}", serde_json::to_string(&last).expect("figures"));
+    Ok(played.verdict == Verdict::default() && played.crashed == 0)
+}
+
 /// Steps of a search between a rate that is kept and one that is not.
 const STEPS: u32 = 5;
 
@@ -280,6 +333,14 @@
             let day = Day::read(&file).map_err(|e| e.to_string());
             day.and_then(|day| partners::serve(&day, seed, front).map(|()| true).map_err(|e| e.to_string()))
         }
+        Command::Fleet { scenario, senders, seed, program, ask_ms, down_s } => {
+            let plan = cold_start::Plan {
+                ask: Duration::from_millis(ask_ms),
+                down: Duration::from_secs(down_s),
+                ..cold_start::plan(&program, senders, seed)
+            };
+            fleet(scenario, &plan)
+        }
         Command::Journal { folder, csv } => journal(&folder, csv),
         Command::Sweep { file, to, resume, cores, png } => sweep(&file, &to, cores, png, resume),
         Command::Report { folder, png } => {
--- /dev/null
+++ b/rig/src/cold_start.rs
@@ -0,0 +1,255 @@
+//! A whole fleet that starts in the same moment, and most of it once more after a kill.
+
+use crate::directory::Directory;
+use crate::partner;
+use crate::record::{Record, Verdict};
+use crate::sender::{NoSender, Sender};
+use serde::Serialize;
+use serde_json::{json, Value};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Destinations.
+const DESTS: usize = 10;
+/// Time that a message has.
+const LEFT: Duration = Duration::from_secs(16);
+/// The platform starts a killed sender again after so long.
+const AGAIN: Duration = Duration::from_millis(600);
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The program.
+    pub program: PathBuf,
+    /// Processes.
+    pub senders: usize,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// What an ask costs the directory.
+    pub ask: Duration,
+    /// Endpoints of partners.
+    pub endpoints: usize,
+    /// Messages that are handed in a second, all senders together.
+    pub rate: f64,
+    /// The directory is not there from the start on for so long.
+    pub down: Duration,
+    /// How long a fleet may take to be told before it is given up.
+    pub patience: Duration,
+    /// Those that were killed are killed once more while they take up what they held.
+    pub twice: bool,
+    /// One of those that come back stands still for so long from its start on, as a machine that is stopped.
+    pub stopped: Duration,
+    /// Messages go on for so long once all are told, also into the kill.
+    pub after: Duration,
+}
+
+/// How a fleet came to be told.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Round {
+    /// Senders that began.
+    pub began: usize,
+    /// Those that were told.
+    pub told: usize,
+    /// When half, and the last, were told after the beginning, in seconds.
+    pub half_s: f64,
+    /// See above.
+    pub last_s: f64,
+    /// All asks one after another, in seconds.
+    pub ideal_s: f64,
+    /// Asks.
+    pub asks: u32,
+    /// Those that failed.
+    pub failed: u32,
+    /// Connections that were opened to partners.
+    pub connections: u32,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Played {
+    /// All start.
+    pub start: Round,
+    /// Seven in ten are killed, and start again.
+    pub back: Round,
+    /// Messages that were taken on.
+    pub taken_on: usize,
+    /// Those of them that were delivered.
+    pub delivered: usize,
+    /// Most connections that were open at one partner.
+    pub most_open: u32,
+    /// Processes that ended by themselves.
+    pub crashed: usize,
+    /// What the rules say.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+}
+
+/// Why it could not be played.
+#[derive(Debug, thiserror::Error)]
+pub enum NotPlayed {
+    /// Sockets.
+    #[error("stand-ins: {0}")]
+    Io(#[from] io::Error),
+    /// The program.
+    #[error("{0}")]
+    Sender(#[from] NoSender),
+}
+
+fn settings(senders: usize) -> Value {
+    json!({
+        "balancers": senders, "discovery": "subscribe", "kinds": ["hook"], "localities": ["a"], "weights": "rough",
+        "categories": [{"name": "event", "promise": 3_000_000_000u64, "deadline": 16_000_000_000u64, "effect": "token",
+            "dedupScope": "zone", "window": 10_000_000_000u64, "points": 1.0, "lateWorth": 0.5}],
+        "familyInfo": {"maxCalls": 12, "kindApart": [true], "kindBatch": [1], "losesWorth": "halving"},
+        "limits": {"maxAttempts": 12, "openCap": 100, "retryAfter": true, "maxRetryAfter": 2_000_000_000u64,
+            "idleClose": 15_000_000_000u64, "connectTimeout": 1_500_000_000u64},
+        "rules": {"coldShare": 0.23, "warmAfter": 13_000_000_000u64, "overloadFactor": 2.0,
+            "overloadFor": 3_000_000_000u64, "mustAskIn": 10_000_000_000u64}
+    })
+}
+
+fn target(n: usize, uid: &str, endpoint: &str) -> Value {
+    json!({"uid": uid, "endpoint": endpoint, "az": "a", "model": "hook", "pod_group": n % DESTS, "state": "active",
+        "capacity_hint": 50.0, "boot_ms": 0})
+}
+
+/// A fleet that is played.
+struct Fleet<'a> {
+    plan: &'a Plan,
+    record: Arc<Record>,
+    senders: Vec<Sender>,
+    handed: usize,
+    random: fastrand::Rng,
+}
+
+impl Fleet<'_> {
+    /// Hands messages in for a while, as many a second as planned, or until `done`.
+    fn serve(&mut self, most: Duration, done: impl Fn(&Record) -> bool) {
+        let (begun, first) = (Instant::now(), self.handed);
+        while begun.elapsed() < most && !done(&self.record) {
+            let due = first + (begun.elapsed().as_secs_f64() * self.plan.rate) as usize;
+            if self.handed >= due {
+                thread::sleep(Duration::from_millis(5));
+                continue;
+            }
+            let sender = &self.senders[self.random.usize(..self.senders.len())];
+            sender.hand_in(&format!("m{}", self.handed), self.random.usize(..DESTS), LEFT, &self.record);
+            self.handed += 1;
+        }
+    }
+
+    /// Starts these at once.
+    fn begin(&mut self, which: &[usize]) -> Result<(), NoSender> {
+        which.iter().try_for_each(|n| self.senders[*n].spawn())?;
+        which.iter().try_for_each(|n| self.senders[*n].listens())
+    }
+
+    /// Kills these, and lets the time pass after which the platform starts them again.
+    fn kill(&mut self, which: &[usize]) {
+        which.iter().for_each(|n| self.senders[*n].kill());
+        thread::sleep(AGAIN);
+    }
+
+    /// Starts these, serves until all are told, and tells how it went.
+    fn round(&mut self, which: &[usize], directory: &Directory) -> Result<Round, NotPlayed> {
+        let (asks, failed, connections, told) = {
+            let seen = self.record.seen();
+            (seen.asks, seen.failed, seen.connections, seen.told.len())
+        };
+        let mut begun = Instant::now();
+        self.begin(which)?;
+        if told > 0 && !self.plan.stopped.is_zero() {
+            self.senders[which[0]].stopped(true);
+            self.serve(self.plan.stopped, |_| false);
+            self.senders[which[0]].stopped(false);
+        }
+        if !self.plan.down.is_zero() && told == 0 {
+            self.serve(self.plan.down, |_| false);
+            directory.down(false);
+            begun = Instant::now();
+        }
+        self.serve(self.plan.patience, |r| r.seen().told.len() >= told + which.len());
+        self.serve(self.plan.after, |_| false);
+        let seen = self.record.seen();
+        let mut times: Vec<f64> = seen.told[told..].iter().map(|t| (*t - begun).as_secs_f64()).collect();
+        times.sort_by(f64::total_cmp);
+        Ok(Round {
+            began: which.len(),
+            told: times.len().min(which.len()),
+            half_s: times.get(which.len() / 2).copied().unwrap_or(f64::NAN),
+            last_s: times.last().copied().unwrap_or(f64::NAN),
+            ideal_s: which.len() as f64 * self.plan.ask.as_secs_f64(),
+            asks: seen.asks - asks,
+            failed: seen.failed - failed,
+            connections: seen.connections - connections,
+        })
+    }
+}
+
+/// Plays it: a kept list of which a third names endpoints that are gone, all processes at once; when all are told, seven in ten are
+/// killed and come back at once.
+///
+/// # Errors
+/// Stand-ins or processes could not be started.
+pub fn play(plan: &Plan) -> Result<Played, NotPlayed> {
+    let record = Arc::new(Record::default());
+    let mut targets = Vec::new();
+    for n in 0..plan.endpoints {
+        let address = partner::start(Duration::from_millis(50), record.clone())?;
+        targets.push(target(n, &format!("s{n}"), &address.to_string()));
+    }
+    let directory = Directory::start(plan.ask, targets.clone(), record.clone())?;
+    directory.down(!plan.down.is_zero());
+    // Nobody listens on this port of the loopback addresses.
+    let gone = |n: usize| target(n, &format!("gone{n}"), &format!("127.0.0.9:{}", 1 + n));
+    let kept: Vec<Value> =
+        targets.iter().enumerate().map(|(n, t)| if n % 3 == 0 { gone(n) } else { t.clone() }).collect();
+    let config = |n: usize| {
+        json!({"listen": "127.0.0.1:0", "discovery": directory.address, "seed": format!("{:016x}", plan.seed + n as u64),
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
+            "known": {"rev": 1, "all": true, "targets": kept}, "settings": settings(plan.senders)})
+    };
+    let senders = (0..plan.senders).map(|n| Sender::new(&plan.program, format!("n{n}"), config(n)));
+    let senders = senders.collect::<Result<Vec<_>, _>>()?;
+    let random = fastrand::Rng::with_seed(plan.seed);
+    let mut fleet = Fleet { plan, record: record.clone(), senders, handed: 0, random };
+    let all: Vec<usize> = (0..plan.senders).collect();
+    let start = fleet.round(&all, &directory)?;
+
+    let killed: Vec<usize> = all.iter().copied().filter(|n| n % 10 < 7).collect();
+    fleet.kill(&killed);
+    if plan.twice {
+        fleet.begin(&killed)?;
+        fleet.kill(&killed);
+    }
+    let back = fleet.round(&killed, &directory)?;
+    record.settle(LEFT + Duration::from_secs(2));
+    let crashed = fleet.senders.iter_mut().filter_map(|s| (!s.lives()).then_some(())).count();
+    drop(fleet);
+    let seen = record.seen();
+    let count = |of: fn(&crate::record::Life) -> bool| seen.lives.values().filter(|l| of(l)).count();
+    let (taken_on, delivered) = (count(|l| l.taken_on), count(|l| l.taken_on && l.delivered > 0));
+    let most_open = seen.most_open;
+    drop(seen);
+    Ok(Played { start, back, taken_on, delivered, most_open, crashed, verdict: record.verdict() })
+}
+
+/// What [`play`] is played with where nothing else is asked for: the directory that the operators describe.
+pub fn plan(program: &Path, senders: usize, seed: u64) -> Plan {
+    Plan {
+        program: program.to_path_buf(),
+        senders,
+        seed,
+        ask: Duration::from_millis(55),
+        endpoints: 30,
+        rate: 0.5 * senders as f64,
+        down: Duration::ZERO,
+        patience: Duration::from_secs(180),
+        twice: false,
+        stopped: Duration::ZERO,
+        after: Duration::from_secs(3),
+    }
+}
--- /dev/null
+++ b/rig/src/partner.rs
@@ -0,0 +1,50 @@
+//! Endpoints of partners: each takes calls over kept connections and answers after a while.
+
+use crate::record::Record;
+use crate::Http;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Starts one that delivers each call after `takes`.
+///
+/// # Errors
+/// No port is to be had.
+pub fn start(takes: Duration, record: Arc<Record>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let open = Arc::new(AtomicU32::new(0));
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let (record, open) = (record.clone(), open.clone());
+            thread::spawn(move || {
+                let now = open.fetch_add(1, Ordering::SeqCst) + 1;
+                {
+                    let mut seen = record.seen();
+                    seen.connections += 1;
+                    seen.most_open = seen.most_open.max(now);
+                }
+                // A connection that breaks has ended, and that is all there is to say of it.
+                let _ = serve(&stream, takes, &record);
+                open.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    });
+    Ok(address)
+}
+
+fn serve(mut stream: &TcpStream, takes: Duration, record: &Record) -> io::Result<()> {
+    let mut reader = BufReader::new(stream);
+    while let Some((call, _)) = Http::read(&mut reader)? {
+        let id = call.header("x-txn").unwrap_or_default().to_string();
+        record.called(&id);
+        thread::sleep(takes);
+        let answered = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        record.ended(&id, answered.is_ok());
+        answered?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/rig/src/record.rs
@@ -0,0 +1,147 @@
+//! What all stand-ins saw, in one place, and the check of the rules over it.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// A message, as the stand-ins saw it.
+#[derive(Clone, Debug, Default)]
+pub struct Life {
+    /// A sender said that it takes it on.
+    pub taken_on: bool,
+    /// Calls that are out.
+    out: u32,
+    /// Deliveries: answers of 200 that were written.
+    pub delivered: u32,
+    /// Notices, by status.
+    pub told: Vec<String>,
+    /// Times that it was out twice at once.
+    pub two_out: u32,
+    /// Deliveries after a final answer had been told.
+    pub too_late: u32,
+}
+
+/// What the stand-ins saw.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Messages, by id.
+    pub lives: BTreeMap<String, Life>,
+    /// When each ask of a sender for the list was answered, by the name that it goes by.
+    pub told: Vec<Instant>,
+    /// Asks for the list.
+    pub asks: u32,
+    /// Those that failed.
+    pub failed: u32,
+    /// Connections to partners.
+    pub connections: u32,
+    /// Most connections that were open at one partner.
+    pub most_open: u32,
+}
+
+/// The record.
+#[derive(Debug, Default)]
+pub struct Record(Mutex<Seen>);
+
+/// What the rules say of a record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Verdict {
+    /// Rules that were broken: a message out twice at once, or with more than one end.
+    pub broken: u32,
+    /// Messages taken on that have neither been delivered nor told.
+    pub lost: u32,
+    /// Messages told two different final answers, or delivered after one. A notice for one that had been delivered does no harm: a
+    /// sender that was killed can't know.
+    pub doubled: u32,
+}
+
+impl Record {
+    /// What was seen so far.
+    pub fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn life<T>(&self, id: &str, change: impl FnOnce(&mut Life) -> T) -> T {
+        change(self.seen().lives.entry(id.to_string()).or_default())
+    }
+
+    /// A sender takes a message on.
+    pub fn taken_on(&self, id: &str) {
+        self.life(id, |l| l.taken_on = true);
+    }
+
+    /// A call came in whole.
+    pub fn called(&self, id: &str) {
+        self.life(id, |l| {
+            l.two_out += u32::from(l.out > 0);
+            l.out += 1;
+        });
+    }
+
+    /// A call is over.
+    pub fn ended(&self, id: &str, delivered: bool) {
+        self.life(id, |l| {
+            l.out -= 1;
+            l.delivered += u32::from(delivered);
+            l.too_late += u32::from(delivered && !l.told.is_empty());
+        });
+    }
+
+    /// A notice came.
+    pub fn told(&self, id: &str, status: &str) {
+        self.life(id, |l| l.told.push(status.to_string()));
+    }
+
+    /// Messages that were taken on and have no end yet.
+    pub fn open(&self) -> usize {
+        self.seen().lives.values().filter(|l| l.taken_on && l.delivered == 0 && l.told.is_empty()).count()
+    }
+
+    /// Waits until each message taken on has its end, or for so long.
+    pub fn settle(&self, most: Duration) {
+        let end = Instant::now() + most;
+        while self.open() > 0 && Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Judges all lives.
+    pub fn verdict(&self) -> Verdict {
+        let mut verdict = Verdict::default();
+        for l in self.seen().lives.values().filter(|l| l.taken_on) {
+            let doubled = l.too_late > 0 || l.told.iter().any(|t| *t != l.told[0]);
+            verdict.lost += u32::from(l.delivered == 0 && l.told.is_empty());
+            verdict.doubled += u32::from(doubled);
+            verdict.broken += l.two_out + u32::from(doubled);
+        }
+        verdict
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_check_fires_on_a_planted_breach_and_on_nothing_else() {
+        let record = Record::default();
+        for id in ["delivered", "told", "lost", "twice", "late", "out"] {
+            record.taken_on(id);
+        }
+        let deliver = |id| {
+            record.called(id);
+            record.ended(id, true);
+        };
+        deliver("delivered");
+        record.told("delivered", "deferred");
+        record.told("late", "deferred");
+        (0..2).for_each(|_| record.told("told", "deferred"));
+        assert_eq!(record.verdict(), Verdict { broken: 0, lost: 3, doubled: 0 });
+        deliver("late");
+        record.told("twice", "deferred");
+        record.told("twice", "undeliverable");
+        (0..2).for_each(|_| record.called("out"));
+        (0..2).for_each(|_| record.ended("out", true));
+        assert_eq!(record.verdict(), Verdict { broken: 3, lost: 1, doubled: 2 });
+        assert_eq!(record.open(), 1);
+    }
+}
--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -5,6 +5,7 @@
 use crate::platform_only::{config, platform_command, until};
 use crate::program::Program;
 use crate::rig::{message, Answer, End, Message, Rig};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -52,6 +53,48 @@
     rig.finish(&[]);
 }
 
+#[test]
+fn of_two_moves_in_quick_order_the_last_one_counts() {
+    let mut rig = Rig::<Http>::start(&[("p", "a")]);
+    rig.take_on(&message("held"));
+    let out = rig.call();
+    let between = Discovery::start_from(rig.discovery.rev() + 1, rig.discovery.targets());
+    let last = Discovery::start_from(rig.discovery.rev() + 2, rig.discovery.targets());
+    // The one between answers nothing; signals that come together may count as one.
+    between.freeze(true);
+    let _old = rig.move_discovery(between);
+    let _between = rig.move_discovery(last);
+    until("a watch at the last address", || rig.discovery.asked().len() == 1);
+    rig.add_provider("q", "b");
+    rig.program.says("provider q ");
+    out.answer(Answer::Delivered);
+    rig.finish(&["held"]);
+}
+
+#[test]
+fn a_move_in_the_middle_of_a_take_up_loses_nothing() {
+    let mut rig = Rig::<Http>::start(&[("p", "a")]);
+    // More than there are slots, so that most of them still wait when the move comes.
+    let ids: BTreeSet<String> = (0..30).map(|i| format!("m{i}")).collect();
+    ids.iter().for_each(|id| rig.take_on(&message(id)));
+    rig.call();
+    rig.program.kill();
+    rig.providers.calls.try_iter().for_each(drop);
+    rig.start_again();
+    let next = Discovery::start_from(rig.discovery.rev() + 1, rig.discovery.targets());
+    let _old = rig.move_discovery(next);
+    until("a watch at the new address", || rig.discovery.asked().len() == 1);
+    let mut delivered = BTreeSet::new();
+    while delivered.len() < ids.len() {
+        let call = rig.call();
+        assert!(delivered.insert(call.message.id.clone()), "{} again", call.message.id);
+        call.answer(Answer::Delivered);
+    }
+    assert_eq!(delivered, ids);
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    rig.finish(&ids);
+}
+
 /// The new directory may count its versions anew.
 #[test]
 fn a_whole_list_of_a_lower_version_counts_after_a_move() {
