Time the stretches of work between two looks at the sockets, told at debug level

`src/turns.rs` times each poll of the executor where the level is debug, in a histogram (hdrhistogram); the line after the sizes of tables tells it, a stretch of 4 ms or more has a line of its own. Off at other levels.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 mod state;
 pub mod store;
 pub mod trace;
+pub mod turns;
 
 pub use interface::*;
 pub use policy::Relay;
--- a/src/main.rs
+++ b/src/main.rs
@@ -34,6 +34,7 @@
 use raildeal::net::platform::watch::Watch;
 use raildeal::net::seats::{Seats, WhenFull};
 use raildeal::net::{MQTT, PLATFORM};
+use raildeal::turns::Turns;
 use raildeal::Relay;
 use rustix::process::{getrlimit, Resource};
 use std::collections::hash_map::RandomState;
@@ -82,8 +83,15 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let config = configuration(source.as_deref());
     let executor = Rc::new(LocalExecutor::new());
-    let served =
-        config.and_then(|config| async_io::block_on(executor.run(serve(config, source, executor.clone()))));
+    let turns = Turns::default();
+    let served = config.and_then(|config| {
+        let work = executor.run(serve(config, source, executor.clone(), turns.clone()));
+        if log::log_enabled!(log::Level::Debug) {
+            async_io::block_on(turns.time(work))
+        } else {
+            async_io::block_on(work)
+        }
+    });
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -167,8 +175,8 @@
     Rc::new(ByKind { posters, brokers })
 }
 
-/// Tells how long each table is, for as long as the process lives.
-async fn sizes(house: Rc<House>, invoker: Rc<ByKind>, notices: Option<Rc<Notices>>) {
+/// Tells how long each table is, and how long work took between two looks at the sockets, for as long as the process lives.
+async fn sizes(house: Rc<House>, invoker: Rc<ByKind>, notices: Option<Rc<Notices>>, turns: Turns) {
     loop {
         house.wheel.sleep(SIZES_EVERY).await;
         let mut all = house.desk.sizes();
@@ -179,6 +187,7 @@
         all.push(("sleepers", house.wheel.sleepers()));
         let all: Vec<String> = all.iter().map(|(table, entries)| format!("{table}={entries}")).collect();
         log::debug!("sizes: {}", all.join(" "));
+        log::debug!("{}", turns.told());
     }
 }
 
@@ -186,6 +195,7 @@
     config: Config,
     file: Option<PathBuf>,
     executor: Rc<LocalExecutor<'static>>,
+    turns: Turns,
 ) -> Result<(), String> {
     let Config { name, deployment, .. } = &config;
     let mut settings = deployment.settings.clone();
@@ -253,7 +263,7 @@
         keep(&executor, async move { notices.run().await });
     }
     if log::log_enabled!(log::Level::Debug) {
-        keep(&executor, sizes(house.clone(), invoker.clone(), notices));
+        keep(&executor, sizes(house.clone(), invoker.clone(), notices, turns));
     }
     if let Some(discovery) = discovery.clone() {
         let patience = Duration::from_secs_f64(asking::patience(house.settings.relays));
