Say once from how many senders on one is of many, and once when a life is open

Read again: `MANY` stood in src/asking.rs beside its twin in src/fleet.rs, with the same reason; asking takes that one now. The rig's record had the same condition for an open life in two places, a return value that nobody used, and a comment on `told` that was not true.

--- a/rig/src/record.rs
+++ b/rig/src/record.rs
@@ -21,12 +21,19 @@
     pub too_late: u32,
 }
 
+impl Life {
+    /// It was taken on and has no end yet.
+    fn is_open(&self) -> bool {
+        self.taken_on && self.delivered == 0 && self.told.is_empty()
+    }
+}
+
 /// What the stand-ins saw.
 #[derive(Debug, Default)]
 pub struct Seen {
     /// Messages, by id.
     pub lives: BTreeMap<String, Life>,
-    /// When each ask of a sender for the list was answered, by the name that it goes by.
+    /// When each list was written to a sender that asked for it.
     pub told: Vec<Instant>,
     /// Asks for the list.
     pub asks: u32,
@@ -60,8 +67,8 @@
         self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    fn life<T>(&self, id: &str, change: impl FnOnce(&mut Life) -> T) -> T {
-        change(self.seen().lives.entry(id.to_string()).or_default())
+    fn life(&self, id: &str, change: impl FnOnce(&mut Life)) {
+        change(self.seen().lives.entry(id.to_string()).or_default());
     }
 
     /// A sender takes a message on.
@@ -93,7 +100,7 @@
 
     /// Messages that were taken on and have no end yet.
     pub fn open(&self) -> usize {
-        self.seen().lives.values().filter(|l| l.taken_on && l.delivered == 0 && l.told.is_empty()).count()
+        self.seen().lives.values().filter(|l| l.is_open()).count()
     }
 
     /// Waits until each message taken on has its end, or for so long.
@@ -109,7 +116,7 @@
         let mut verdict = Verdict::default();
         for l in self.seen().lives.values().filter(|l| l.taken_on) {
             let doubled = l.too_late > 0 || l.told.iter().any(|t| *t != l.told[0]);
-            verdict.lost += u32::from(l.delivered == 0 && l.told.is_empty());
+            verdict.lost += u32::from(l.is_open());
             verdict.doubled += u32::from(doubled);
             verdict.broken += l.two_out + u32::from(doubled);
         }
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -5,11 +5,10 @@
 //! the directory needs for all of them, with as much of its own patience taken off as chance leaves; what asks cost, and whether
 //! it is too much, is learned from the answers. No I/O, no clock; the caller brings time and randomness.
 
+use crate::fleet::MANY;
 use crate::state::{secs, to_secs};
 use crate::Time;
 
-/// Senders from which on asks are spread.
-const MANY: u32 = 10;
 /// What one ask costs the directory until an answer has shown more, in seconds: 55 ms seen.
 const COST: f64 = 0.055;
 /// Least and most that is believed of it. Under the least the spread is of no use, over the most a fleet would never be told.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,7 +9,7 @@
 use crate::Time;
 
 /// Senders from which on one sees too little of a route: its own calls are a tenth or less of those that the route gets.
-const MANY: u32 = 10;
+pub(crate) const MANY: u32 = 10;
 /// Least part, in calls a second: a fleet that is said to be far larger than it is slows a sender and never stops it.
 const LEAST_PART: f64 = 1.0 / 60.0;
 /// Part that comes back each second of what refusals took. A call comes every few seconds: with much more in between, refusals
