A planned restart asks as one of its share, and what an ask took is kept

A start can't see how many start with it. What it can know: that the process before it ended as told, and what its last ask took.

Both are noted in the state folder (core/earlier.rs; `ended`, used once and for a minute; `asked`, for an hour, believed down to half of 55 ms). An ask that fails in the line ends the share: the next one is spread over all. A note that is torn, from the future or unreadable is told and does not count.

Not taken: keeping a time of life to tell kills in a row from kills of all; the gap is the same in both. A shorter spread for all: it fails the cold start of 300.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -7,7 +7,8 @@
 
 use crate::fleet::MANY;
 use crate::state::{secs, to_secs};
-use crate::Time;
+use crate::{Earlier, Time};
+use std::time::Duration;
 
 /// What one ask costs the directory until an answer has shown more, in seconds: 55 ms seen.
 const COST: f64 = 0.055;
@@ -50,10 +51,18 @@
     (f64::from(relays) * COST).clamp(ANSWER.0, ANSWER.1)
 }
 
+/// What an ask that took so long says of what asks cost the directory, in seconds, for a later start. A line before it is no cost;
+/// and a directory that has just started itself may be slower than it was, by half of what is usual at the most.
+pub fn kept_cost(took: Duration) -> f64 {
+    took.as_secs_f64().clamp(COST / 2.0, COST)
+}
+
 /// One sender's asks.
 #[derive(Debug, Default)]
 pub struct Asking {
     relays: u32,
+    /// How many of them ask together; fewer than all at a planned restart, until an ask has shown that there are more.
+    together: u32,
     /// Longest time without an ask or a watch (0: no bound), by the settings.
     within: Time,
     /// What an ask costs the directory, as far as seen (s).
@@ -71,10 +80,12 @@
 }
 
 impl Asking {
-    /// A sender that starts at `now`; `within` is the longest time without an ask, 0 for no bound. `draw` gives a number evenly
-    /// from 0 to 1.
-    pub fn start(now: Time, relays: u32, within: Time, draw: impl FnOnce() -> f64) -> Self {
-        let mut asking = Asking { relays, within, cost: COST, ..Asking::default() };
+    /// A sender that starts at `now` among `relays`, knowing what the process before it left; `within` is the
+    /// longest time without an ask, 0 for no bound. `draw` gives a number evenly from 0 to 1.
+    pub fn start(now: Time, relays: u32, earlier: Earlier, within: Time, draw: impl FnOnce() -> f64) -> Self {
+        let together = earlier.starting.unwrap_or(relays).min(relays);
+        let cost = earlier.cost.unwrap_or(COST);
+        let mut asking = Asking { relays, together, within, cost, ..Asking::default() };
         asking.next = Some(now + asking.spread(draw));
         asking.counts_from(now, 1);
         asking
@@ -87,7 +98,7 @@
     }
 
     fn spread(&self, draw: impl FnOnce() -> f64) -> Time {
-        match span(self.relays, self.cost) {
+        match span(self.together, self.cost) {
             0.0 => 0,
             span => secs(draw() * span),
         }
@@ -119,7 +130,7 @@
 
     /// An ask failed, or a watch ended.
     pub fn failed(&mut self, now: Time, draw: impl FnOnce() -> f64) {
-        let asked = self.asked.take();
+        let (asked, together) = (self.asked.take(), self.together);
         if asked.is_none() && self.next.is_some() {
             return; // nothing was out, and the next ask is settled
         }
@@ -128,19 +139,23 @@
         let Some(asked) = asked else {
             // All may have lost their watches at once.
             self.watching = false;
+            self.together = self.relays;
             self.counts_from(now, 1);
             self.next = Some(now + gap + self.spread(draw));
             return;
         };
         self.counts_from(asked, FAILED);
         if to_secs(now - asked) >= STOOD {
-            // The line was too long: the asks of all cost more than was thought.
+            // The line was too long: more asked than was thought, or the asks cost more.
             // What stands in it is worked off first, also the asks that failed.
-            self.cost = (self.cost * DEARER).min(COSTS.1);
+            self.together = self.relays;
+            if together == self.relays {
+                self.cost = (self.cost * DEARER).min(COSTS.1);
+            }
             self.next = Some(now + gap + secs(span(self.relays, self.cost)) + self.spread(draw));
         } else {
             // Nobody is there. Each keeps its place in the row, so that the line is no longer when somebody is.
-            self.next = Some((asked + secs(span(self.relays, self.cost))).max(now + gap));
+            self.next = Some((asked + secs(span(self.together, self.cost))).max(now + gap));
         }
     }
 
@@ -164,7 +179,7 @@
     #[test]
     fn few_ask_at_once_and_wait_longer_with_each_failure() {
         let never = || unreachable!("few draw nothing");
-        let mut asking = Asking::start(SEC, 3, 10 * SEC, never);
+        let mut asking = Asking::start(SEC, 3, Earlier::default(), 10 * SEC, never);
         let mut now = SEC;
         for gap in [500, 1_000, 2_000, 4_000, 4_000] {
             assert!(asking.due(now) && !asking.due(now), "once each");
@@ -184,7 +199,9 @@
         for (relays, most) in [(10, 0.3), (100, 3.0), (300, 14.5), (3_000, 172.0)] {
             let mut random = Random::new(7);
             let mut at: Vec<Time> = (0..relays)
-                .map(|_| Asking::start(0, relays, 0, || random.draw()).next().expect("due"))
+                .map(|_| {
+                    Asking::start(0, relays, Earlier::default(), 0, || random.draw()).next().expect("due")
+                })
                 .collect();
             at.sort();
             let last = to_secs(*at.last().expect("one"));
@@ -205,7 +222,7 @@
             }
             to_secs(asking.next().expect("settled") - now)
         };
-        let mut asking = Asking::start(0, 300, 0, || 0.5);
+        let mut asking = Asking::start(0, 300, Earlier::default(), 0, || 0.5);
         assert!(
             (100.0..120.0).contains(&ask(&mut asking, 3.0, false)),
             "a line too long is let go and made far less dense"
@@ -217,10 +234,36 @@
         assert!(ask(&mut asking, 0.0, true) >= 0.5);
     }
 
+    #[test]
+    fn a_planned_restart_waits_for_its_own_share_and_a_line_shows_that_more_ask() {
+        let start = |starting| Asking::start(0, 300, Earlier { starting, cost: None }, 0, || 1.0);
+        let first = |starting| to_secs(start(starting).next().expect("due"));
+        assert!(first(Some(30)) < 1.0 && first(Some(5)) == 0.0);
+        assert_eq!(first(Some(900)), first(None));
+        let mut asking = start(Some(30));
+        let next = |asking: &mut Asking, failed_after: f64| {
+            let now = asking.next().expect("due");
+            assert!(asking.due(now));
+            asking.failed(now + secs(failed_after), || 1.0);
+            to_secs(asking.next().expect("due") - now)
+        };
+        assert!(next(&mut asking, 0.1) < 1.0, "nobody is there, which says nothing of a line");
+        // All that stood in line are let through, then all ask anew, at the cost that was thought.
+        assert!((30.0..35.0).contains(&next(&mut asking, 3.0)));
+        assert!(next(&mut asking, 3.0) > 80.0, "now they cost more");
+        // A lost watch may be everyone's.
+        let mut asking = start(Some(30));
+        assert!(asking.due(SEC));
+        asking.heard(SEC + secs(COST));
+        asking.failed(2 * SEC, || 1.0);
+        assert!(to_secs(asking.next().expect("due")) > 10.0);
+    }
+
     #[test]
     fn a_directory_that_is_not_there_is_asked_in_the_same_row_again_and_again() {
         let mut random = Random::new(7);
-        let mut all: Vec<Asking> = (0..300).map(|_| Asking::start(0, 300, 0, || random.draw())).collect();
+        let mut all: Vec<Asking> =
+            (0..300).map(|_| Asking::start(0, 300, Earlier::default(), 0, || random.draw())).collect();
         let mut asks = vec![0; 60];
         for ms in (0..60_000).step_by(10) {
             let now = ms * crate::state::MS;
@@ -236,7 +279,7 @@
 
     #[test]
     fn a_list_counts_as_told_after_the_time_that_the_settings_say_and_four_times_it_after_a_failure() {
-        let mut asking = Asking::start(0, 300, 10 * SEC, || 0.9);
+        let mut asking = Asking::start(0, 300, Earlier::default(), 10 * SEC, || 0.9);
         assert!(!asking.blind(10 * SEC - 1) && asking.blind(10 * SEC));
         assert!(asking.due(14 * SEC) && !asking.blind(15 * SEC), "asking counts");
         asking.failed(17 * SEC, || 0.0);
@@ -247,12 +290,12 @@
         assert!(!asking.blind(next + 900 * SEC), "a watch tells");
         asking.failed(next + 900 * SEC, || 1.0);
         assert!(!asking.blind(next + 909 * SEC) && asking.blind(next + 910 * SEC));
-        assert!(!Asking::start(0, 300, 0, || 1.0).blind(900 * SEC), "no bound is set");
+        assert!(!Asking::start(0, 300, Earlier::default(), 0, || 1.0).blind(900 * SEC), "no bound is set");
     }
 
     #[test]
     fn a_fleet_that_the_directory_cannot_bear_in_time_is_told_of() {
-        let start = |relays| Asking::start(0, relays, 10 * SEC, || 0.0);
+        let start = |relays| Asking::start(0, relays, Earlier::default(), 10 * SEC, || 0.0);
         assert_eq!(start(200).too_many(), None);
         assert!(start(300).too_many().is_some_and(|s| (14.0..15.0).contains(&s)));
         assert_eq!((patience(3), patience(100), patience(3_000)), (3.0, 5.5, 6.0));
--- /dev/null
+++ b/src/core/earlier.rs
@@ -0,0 +1,125 @@
+//! What the process before this one left in the sender's folder, beside the journal: that it ended as it was told to, and how long
+//! the directory took for its last ask. Both are hints; without them a start is one of all, beside a directory that nobody knows.
+
+use crate::{asking, Earlier};
+use std::path::Path;
+use std::time::Duration;
+use std::{fs, io};
+
+/// The note of an end, and that of an ask.
+const ENDED: &str = "ended";
+const ASKED: &str = "asked";
+/// A start that comes later than so many milliseconds after the end is none of a restart: the machines may all have been down.
+const RESTART_MS: u64 = 60_000;
+/// What an ask took counts for so many milliseconds: the directory may be another one later.
+const ASKED_MS: u64 = 3_600_000;
+
+/// Notes that this process ends as it was told to.
+///
+/// # Errors
+/// The folder cannot be written. The next start counts as one after a crash, and nothing else is harmed.
+pub fn ends(folder: &Path, now_ms: u64) -> io::Result<()> {
+    fs::write(folder.join(ENDED), format!("{now_ms}\n"))
+}
+
+/// Notes how long the directory took for an ask.
+///
+/// # Errors
+/// The folder cannot be written. The next start takes it for the usual time.
+pub fn asked(folder: &Path, now_ms: u64, took: Duration) -> io::Result<()> {
+    fs::write(folder.join(ASKED), format!("{now_ms} {}\n", took.as_micros()))
+}
+
+/// What is known of the process before this one, where a planned restart takes `together` of `relays` senders at once. The note of an
+/// end counts once: a start that ends short leaves none. With it a line for the log for each note that does not count.
+pub fn look(folder: &Path, now_ms: u64, relays: u32, together: f64) -> (Earlier, Vec<String>) {
+    let mut faults = Vec::new();
+    let mut note = |name: &str, most_ms| {
+        read(folder, name, now_ms, most_ms).unwrap_or_else(|e| {
+            faults.push(format!("{name}: {e}"));
+            None
+        })
+    };
+    let (ended, asked) = (note(ENDED, RESTART_MS), note(ASKED, ASKED_MS));
+    let starting = ended.filter(|_| together < 1.0).map(|_| (f64::from(relays) * together).ceil() as u32);
+    let cost = asked.map(|us| asking::kept_cost(Duration::from_micros(us)));
+    match fs::remove_file(folder.join(ENDED)) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => {
+            // It would count again and again.
+            faults.push(format!("{ENDED}: {e}"));
+            (Earlier { starting: None, cost }, faults)
+        }
+        _ => (Earlier { starting, cost }, faults),
+    }
+}
+
+/// The last number of a note that is there and fresh.
+fn read(folder: &Path, name: &str, now_ms: u64, most_ms: u64) -> io::Result<Option<u64>> {
+    let text = match fs::read_to_string(folder.join(name)) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        text => text?,
+    };
+    let numbers: Option<Vec<u64>> =
+        text.strip_suffix('\n').and_then(|line| line.split(' ').map(|n| n.parse().ok()).collect());
+    let (at, last) = match (name, numbers.as_deref()) {
+        (ENDED, Some([at])) => (*at, *at),
+        (ASKED, Some([at, last])) => (*at, *last),
+        _ => return Err(io::Error::new(io::ErrorKind::InvalidData, "torn")),
+    };
+    match now_ms.checked_sub(at) {
+        None => Err(io::Error::new(io::ErrorKind::InvalidData, "from the future")),
+        Some(age) => Ok((age <= most_ms).then_some(last)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_end_counts_once_and_only_soon_after() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let look = |now| look(folder.path(), now, 300, 0.1);
+        let (planned, nothing) = (Earlier { starting: Some(30), cost: None }, Earlier::default());
+        assert_eq!(look(5), (nothing, vec![]));
+        for (now, found) in [(1_700, planned), (61_000, planned), (61_001, nothing)] {
+            ends(folder.path(), 1_000).expect("written");
+            assert_eq!((look(now).0, look(now)), (found, (nothing, vec![])));
+        }
+        ends(folder.path(), 1_000).expect("written");
+        assert_eq!(super::look(folder.path(), 1_001, 300, 1.0).0, nothing, "restarts are not staggered");
+        ends(folder.path(), 1_000).expect("written");
+        assert_eq!(look(999), (nothing, vec!["ended: from the future".to_string()]));
+    }
+
+    #[test]
+    fn a_note_that_is_torn_or_cannot_be_read_does_not_count_and_is_told() {
+        let folder = tempfile::tempdir().expect("a folder");
+        for torn in ["", "17", "17 \n", "17\n\n", "-1\n", "soon\n", "17 18 19\n"] {
+            fs::write(folder.path().join(ENDED), torn).expect("written");
+            fs::write(folder.path().join(ASKED), torn).expect("written");
+            let (found, told) = look(folder.path(), 18, 300, 0.1);
+            assert_eq!(
+                (found, told),
+                (Earlier::default(), vec!["ended: torn".into(), "asked: torn".into()]),
+                "{torn:?}"
+            );
+        }
+        fs::create_dir(folder.path().join(ENDED)).expect("a folder");
+        assert!(ends(folder.path(), 1).is_err());
+        assert_eq!(look(folder.path(), 18, 300, 0.1).0.starting, None);
+    }
+
+    #[test]
+    fn what_an_ask_took_counts_for_an_hour_and_within_bounds() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let cost = |took, now| {
+            asked(folder.path(), 1_000, Duration::from_millis(took)).expect("written");
+            look(folder.path(), now, 300, 0.1).0.cost
+        };
+        assert_eq!(cost(36, 1_000), Some(0.036));
+        assert_eq!((cost(36, 3_601_000), cost(36, 3_601_001)), (Some(0.036), None));
+        // A line is no cost, and a directory that has just started may be slower than it was.
+        assert_eq!((cost(2_900, 1_000), cost(1, 1_000)), (Some(0.055), Some(0.0275)));
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod desk;
 pub mod directory;
+pub mod earlier;
 pub mod guests;
 pub mod hook;
 pub mod invocation;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -113,6 +113,15 @@
     Rough,
 }
 
+/// What is known from the process before this one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Earlier {
+    /// Senders that start together with this one, where it is known that not all do.
+    pub starting: Option<u32>,
+    /// What an ask cost the directory, in seconds.
+    pub cost: Option<f64>,
+}
+
 /// What a relay is told when it starts.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
@@ -124,6 +133,8 @@
     pub kinds: Vec<Kind>,
     /// Relays that send to the same destinations, this one included.
     pub relays: u32,
+    /// What the process before this one knew.
+    pub earlier: Earlier,
     /// Calls that may be out at once.
     pub slots: u32,
     /// Messages that may be held, sent or not.
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,11 +14,12 @@
 use raildeal::config::{script, Config, Updates};
 use raildeal::core::desk::{Desk, Hands};
 use raildeal::core::directory::{Directory, Provider};
+use raildeal::core::earlier;
 use raildeal::core::guests::Guests;
 use raildeal::core::invocation::{self, House};
 use raildeal::core::journal::{Journal, Setup};
 use raildeal::core::wheel::Wheel;
-use raildeal::core::{span, Front, Invoker as _};
+use raildeal::core::{span, unix_ms, Front, Invoker as _};
 use raildeal::door::budget::Budget;
 use raildeal::door::places::Rules;
 use raildeal::net::by_kind::ByKind;
@@ -35,7 +36,7 @@
 use raildeal::net::seats::{Seats, WhenFull};
 use raildeal::net::{MQTT, PLATFORM};
 use raildeal::turns::Turns;
-use raildeal::Relay;
+use raildeal::{Earlier, Relay};
 use rustix::process::{getrlimit, Resource};
 use std::collections::hash_map::RandomState;
 use std::collections::BTreeMap;
@@ -191,6 +192,16 @@
     }
 }
 
+/// What the process before this one left.
+fn known_from_before(config: &Config) -> Earlier {
+    let (relays, together) =
+        (config.deployment.settings.relays, config.platform.as_ref().map(|p| p.restarts_together));
+    let (found, faults) = earlier::look(&config.state, unix_ms(), relays, together.unwrap_or(1.0));
+    faults.iter().for_each(|fault| log::warn!("state: a note does not count: {fault}"));
+    log::debug!("state: {found:?}");
+    found
+}
+
 async fn serve(
     config: Config,
     file: Option<PathBuf>,
@@ -211,6 +222,7 @@
     let directory = Rc::new(Directory::new(&deployment.zones, &deployment.kinds, &settings.kinds));
     let (journal, unfinished) = Journal::open(&config.state, Setup { seed: salt(), ..config.store })
         .map_err(|e| format!("state: {}: {e}", config.state.display()))?;
+    settings.earlier = known_from_before(&config);
     let (tended, synced, ended) = (journal.clone(), journal.clone(), journal.clone());
     let budget = budget(&config);
     let invoker = providers(&config, &budget, &wheel);
@@ -267,7 +279,14 @@
     }
     if let Some(discovery) = discovery.clone() {
         let patience = Duration::from_secs_f64(asking::patience(house.settings.relays));
-        let watch = Watch { discovery, desk: desk.clone(), directory, wheel: wheel.clone(), patience };
+        let watch = Watch {
+            discovery,
+            desk: desk.clone(),
+            directory,
+            wheel: wheel.clone(),
+            patience,
+            state: config.state.clone(),
+        };
         keep(&executor, async move { watch.run(asked).await });
     }
     for record in unfinished {
@@ -320,6 +339,7 @@
     finishing.or(async { wheel.sleep(END).await }).await;
     sessions.iter().for_each(|s| s.farewell());
     ended.sync_now().unwrap_or_else(|e| log::error!("store: sync: {e}"));
+    earlier::ends(&config.state, unix_ms()).unwrap_or_else(|e| log::warn!("state: end not noted: {e}"));
     log::info!("{name}: ends with {} messages for the next start", desk.held());
     Ok(())
 }
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -5,12 +5,15 @@
 use super::list;
 use crate::core::desk::Desk;
 use crate::core::directory::Directory;
+use crate::core::earlier;
+use crate::core::unix_ms;
 use crate::core::wheel::Wheel;
 use crate::net::stream::Stream;
 use async_channel::Receiver;
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A line comes every 2 s at least; a watch silent for this long is dead, though its connection may look open.
 const SILENCE: Duration = Duration::from_millis(3500);
@@ -29,6 +32,8 @@
     pub wheel: Rc<Wheel>,
     /// The answer to a watch may wait behind other calls for so long.
     pub patience: Duration,
+    /// The folder that lasts, for a note of what asks took.
+    pub state: PathBuf,
 }
 
 impl Watch {
@@ -53,9 +58,14 @@
     }
 
     async fn follow(&self) -> io::Result<()> {
+        let began = Instant::now();
         let opened = self.wheel.limit(self.patience, self.open()).await;
         let (mut stream, body) = opened.ok_or(io::ErrorKind::TimedOut)??;
         self.desk.list_heard();
+        let took = began.elapsed();
+        log::debug!("watch: answered after {took:?}");
+        earlier::asked(&self.state, unix_ms(), took)
+            .unwrap_or_else(|e| log::warn!("state: ask not noted: {e}"));
         let (mut text, mut chunks) = (Vec::new(), Chunks::default());
         loop {
             let ended = match body {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -225,8 +225,9 @@
         let now = self.now;
         if self.start == 0 {
             (self.start, self.traffic) = (now, Traffic::new(now));
-            let (relays, within) = (self.s.relays, self.s.ask_within);
-            self.asking = self.s.ask_list.then(|| Asking::start(now, relays, within, || self.random.draw()));
+            let (relays, earlier, within) = (self.s.relays, self.s.earlier, self.s.ask_within);
+            self.asking =
+                self.s.ask_list.then(|| Asking::start(now, relays, earlier, within, || self.random.draw()));
             if let Some(span) = self.asking.as_ref().and_then(Asking::too_many) {
                 self.log(format!(
                     "asks of {relays} senders take the directory {span:.1} s, more than mustAskIn"
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -38,6 +38,19 @@
     );
 }
 
+#[test]
+fn a_share_of_restarts_that_cannot_be_used_is_named() {
+    let share = |to: &'static str| ("discovery = \"127.0.0.1:8500\"", to, "platform.restarts_together: ");
+    named(
+        "deploy/store.toml",
+        &[
+            share("discovery = \"127.0.0.1:8500\"\nrestarts_together = 0"),
+            share("discovery = \"127.0.0.1:8500\"\nrestarts_together = 1.1"),
+            share("discovery = \"127.0.0.1:8500\"\nrestarts_together = nan"),
+        ],
+    );
+}
+
 #[test]
 fn a_door_setting_that_cannot_be_used_is_named() {
     named(
