--- a/tests/sockets/program.rs
+++ b/tests/sockets/program.rs
@@ -1,19 +1,40 @@
 //! The program under test, as a child process.
 
-use std::io::{BufRead, BufReader};
+use rustix::fs::OFlags;
+use rustix::io::ioctl_fionread;
+use rustix::pipe::fcntl_getpipe_size;
+use std::fs::{File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// A pipe keeps writes in pages of so many bytes.
+const PAGE: usize = 4096;
+
 pub struct Program {
     child: Child,
     lines: Receiver<String>,
     seen: Vec<String>,
+    gate: Arc<Mutex<()>>,
+}
+
+/// The pipe that a program logs into. What was read from it is passed on while the gate is open.
+struct Gated(ChildStderr, Arc<Mutex<()>>);
+
+impl Read for Gated {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        let read = self.0.read(buf);
+        drop(self.1.lock().expect("the gate"));
+        read
+    }
 }
 
 impl Program {
@@ -39,9 +60,10 @@
         let command = command.env("RUST_LOG", "debug").stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().expect("the program starts");
         let (sender, lines) = channel();
-        let stderr = BufReader::new(child.stderr.take().expect("stderr"));
+        let gate = Arc::<Mutex<()>>::default();
+        let stderr = BufReader::new(Gated(child.stderr.take().expect("stderr"), gate.clone()));
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| sender.send(l)));
-        Program { child, lines, seen: Vec::new() }
+        Program { child, lines, seen: Vec::new(), gate }
     }
 
     /// Waits for a line of the log that holds some words.
@@ -67,6 +89,39 @@
         assert!(status.expect("a shell").success());
     }
 
+    /// Stops reading its log and leaves so many bytes of room for it: with the first line that does not fit it stands still. It
+    /// gives what tells how many bytes it has written since.
+    pub fn hold_log<'a>(&self, gate: &'a Mutex<()>, room: usize) -> (MutexGuard<'a, ()>, impl Fn() -> usize) {
+        let held = gate.lock().expect("the gate");
+        let (log, no_wait) = (format!("/proc/{}/fd/2", self.child.id()), OFlags::NONBLOCK.bits() as i32);
+        let mut pipe = OpenOptions::new().write(true).custom_flags(no_wait).open(log).expect("its log");
+        let unread = |pipe: &File| ioctl_fionread(pipe).expect("a pipe") as usize;
+        // The reader takes one line more and stands before the gate.
+        pipe.write_all(b"held\n").expect("room");
+        while unread(&pipe) > 0 {
+            thread::yield_now();
+        }
+        // Each write has a page of its own while there are any, and the last page is filled up.
+        let pages = fcntl_getpipe_size(&pipe).expect("a pipe") / PAGE;
+        for page in 1..=pages {
+            let length = if page < pages { PAGE } else { PAGE - room };
+            pipe.write_all(&vec![b'\n'; length]).expect("room");
+        }
+        let filled = pages * PAGE - room;
+        (held, move || unread(&pipe) - filled)
+    }
+
+    /// What lets its log be held.
+    pub fn gate(&self) -> Arc<Mutex<()>> {
+        self.gate.clone()
+    }
+
+    /// All that it logged, once it has ended.
+    pub fn whole_log(&mut self) -> String {
+        self.seen.extend(self.lines.iter());
+        self.seen.join("\n")
+    }
+
     /// Descriptors that it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
