Play schedules of faults over many processes, with lines that fail

A schedule (TOML, rig/src/scenario.rs) says what happens when, by time or some time after a process logs something: start, kill, told to end, stop and go on, hang up, a lost folder, lines, a directory that is down, busy, quiet or slow, endpoints that drain, leave and return. `raildeal-lab fleet FILE` plays it at size, `fleet roll` restarts a fleet by shares.

New rule, judged by the stand-ins: a sender that was written a drain and whose line was whole calls there no more. A file that cannot be used names file and field.

A second process on a folder in use, a fault of the player, was seen as a crash before it was mended.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -15,6 +15,7 @@
 use raildeal_lab::run::{play, Played};
 use raildeal_rig::cold_start;
 use raildeal_rig::record::Verdict;
+use raildeal_rig::scenario::{self, Scenario};
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::path::{Path, PathBuf};
@@ -97,12 +98,12 @@
     /// Start many processes of the real program with faults between them, and check the rules by what the stand-ins saw. The last
     /// line is one JSON object.
     Fleet {
-        /// What is played.
-        #[arg(value_enum)]
-        scenario: Scenario,
-        /// Processes.
-        #[arg(long, default_value_t = 30)]
-        senders: usize,
+        /// `cold-start`: all start in the same moment, a third of their kept lists gone; seven in ten are killed and come back.
+        /// `roll`: the same start; then all are restarted a share at a time, every second one killed. Else a file with a schedule.
+        scenario: String,
+        /// Processes; what the file says, where one is played.
+        #[arg(long)]
+        senders: Option<usize>,
         /// For all that is drawn.
         #[arg(long, default_value_t = 1)]
         seed: u64,
@@ -115,6 +116,12 @@
         /// The directory is down from the start on for so many seconds.
         #[arg(long, default_value_t = 0)]
         down_s: u64,
+        /// The share of all senders that the program is told that a planned restart takes at once, and that `roll` ends at once.
+        #[arg(long, default_value_t = 1.0)]
+        together: f64,
+        /// How those end that come back.
+        #[arg(long, value_enum)]
+        ends: Option<Ends>,
     },
     /// List the runs of the standing test, from the records of the operators' benches.
     Journal {
@@ -135,22 +142,25 @@
     },
 }
 
-/// What many processes play.
-#[derive(Clone, Copy, clap::ValueEnum, serde::Serialize)]
-#[serde(rename_all = "kebab-case")]
-enum Scenario {
-    /// All start in the same moment, a third of their kept lists gone; seven in ten are killed and come back.
-    ColdStart,
+/// How processes end.
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Ends {
+    /// By SIGKILL.
+    Killed,
+    /// By SIGTERM.
+    Told,
+    /// Every second one by each.
+    Both,
 }
 
 /// The last line of a scenario.
 #[derive(serde::Serialize)]
-struct Last<'a> {
-    scenario: Scenario,
+struct Last<'a, P> {
+    scenario: &'a str,
     senders: usize,
     seed: u64,
     #[serde(flatten)]
-    played: &'a cold_start::Played,
+    played: &'a P,
 }
 
 /// Writes what happens to a file.
@@ -263,16 +273,27 @@
     Ok(true)
 }
 
-fn fleet(scenario: Scenario, plan: &cold_start::Plan) -> Result<bool, String> {
-    let (senders, seed) = (plan.senders, plan.seed);
-    let played = match scenario {
-        Scenario::ColdStart => cold_start::play(plan).map_err(|e| e.to_string())?,
-    };
-    let last = Last { scenario, senders, seed, played: &played };
-    println!("{}", serde_json::to_string(&last).expect("figures"));
+/// Processes, where nothing is said.
+const SENDERS: usize = 30;
+
+fn fleet(scenario: &str, plan: &cold_start::Plan) -> Result<bool, String> {
+    let played = cold_start::play(plan).map_err(|e| e.to_string())?;
+    last(scenario, plan.senders, plan.seed, &played);
     Ok(played.verdict == Verdict::default() && played.crashed == 0)
 }
 
+fn schedule(file: &str, senders: Option<usize>, seed: u64, program: &Path) -> Result<bool, String> {
+    let mut scenario = Scenario::read(Path::new(file)).map_err(|e| e.to_string())?;
+    scenario.senders = senders.unwrap_or(scenario.senders);
+    let played = scenario::play(&scenario, program, seed).map_err(|e| e.to_string())?;
+    last(file, scenario.senders, seed, &played);
+    Ok(played.is_good())
+}
+
+fn last<P: serde::Serialize>(scenario: &str, senders: usize, seed: u64, played: &P) {
+    println!("{}", serde_json::to_string(&Last { scenario, senders, seed, played }).expect("figures"));
+}
+
 /// Steps of a search between a rate that is kept and one that is not.
 const STEPS: u32 = 5;
 
@@ -333,13 +354,27 @@
             let day = Day::read(&file).map_err(|e| e.to_string());
             day.and_then(|day| partners::serve(&day, seed, front).map(|()| true).map_err(|e| e.to_string()))
         }
-        Command::Fleet { scenario, senders, seed, program, ask_ms, down_s } => {
+        Command::Fleet { scenario, senders, seed, program, ask_ms, down_s, together, ends } => {
+            let (of_ten, batches, usual) = match scenario.as_str() {
+                "cold-start" => (7, 1, Ends::Killed),
+                "roll" => (10, (1.0 / together.clamp(0.01, 1.0)).round() as usize, Ends::Both),
+                file => return exit(schedule(file, senders, seed, &program)),
+            };
+            let senders = senders.unwrap_or(SENDERS);
             let plan = cold_start::Plan {
+                of_ten,
+                batches,
+                together,
+                ends: match ends.unwrap_or(usual) {
+                    Ends::Killed => cold_start::Ends::Killed,
+                    Ends::Told => cold_start::Ends::Told,
+                    Ends::Both => cold_start::Ends::Both,
+                },
                 ask: Duration::from_millis(ask_ms),
                 down: Duration::from_secs(down_s),
                 ..cold_start::plan(&program, senders, seed)
             };
-            fleet(scenario, &plan)
+            fleet(&scenario, &plan)
         }
         Command::Journal { folder, csv } => journal(&folder, csv),
         Command::Sweep { file, to, resume, cores, png } => sweep(&file, &to, cores, png, resume),
@@ -348,6 +383,10 @@
             read.and_then(|(plan, cells)| write_report(&folder, &plan, &cells, png))
         }
     };
+    exit(done)
+}
+
+fn exit(done: Result<bool, String>) -> ExitCode {
     match done {
         Ok(true) => ExitCode::SUCCESS,
         // A broken rule is a failure of what was played, and not of the tool.
--- a/rig/src/cold_start.rs
+++ b/rig/src/cold_start.rs
@@ -1,4 +1,4 @@
-//! A whole fleet that starts in the same moment, and most of it once more after a kill.
+//! A whole fleet that starts in the same moment, and most or all of it once more after a kill or a planned end.
 
 use crate::directory::Directory;
 use crate::partner;
@@ -13,9 +13,9 @@
 use std::time::{Duration, Instant};
 
 /// Destinations.
-const DESTS: usize = 10;
+pub(crate) const DESTS: usize = 10;
 /// Time that a message has.
-const LEFT: Duration = Duration::from_secs(16);
+pub(crate) const LEFT: Duration = Duration::from_secs(16);
 /// The platform starts a killed sender again after so long.
 const AGAIN: Duration = Duration::from_millis(600);
 
@@ -28,6 +28,8 @@
     pub senders: usize,
     /// For all that is drawn.
     pub seed: u64,
+    /// How many the settings say that there are, these processes and others.
+    pub balancers: usize,
     /// What an ask costs the directory.
     pub ask: Duration,
     /// Endpoints of partners.
@@ -38,7 +40,15 @@
     pub down: Duration,
     /// How long a fleet may take to be told before it is given up.
     pub patience: Duration,
-    /// Those that were killed are killed once more while they take up what they held.
+    /// Of ten processes so many end once all are told, and come back.
+    pub of_ten: usize,
+    /// They do so in so many batches, one after another.
+    pub batches: usize,
+    /// How they end.
+    pub ends: Ends,
+    /// The share of all senders that the program is told that a planned restart takes at once.
+    pub together: f64,
+    /// Those that ended end once more while they take up what they held.
     pub twice: bool,
     /// One of those that come back stands still for so long from its start on, as a machine that is stopped.
     pub stopped: Duration,
@@ -46,6 +56,17 @@
     pub after: Duration,
 }
 
+/// How a process ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ends {
+    /// Killed.
+    Killed,
+    /// Told to end.
+    Told,
+    /// Every second one is killed, the others are told.
+    Both,
+}
+
 /// How a fleet came to be told.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Round {
@@ -72,15 +93,15 @@
 pub struct Played {
     /// All start.
     pub start: Round,
-    /// Seven in ten are killed, and start again.
-    pub back: Round,
+    /// Those that ended start again, batch by batch.
+    pub back: Vec<Round>,
     /// Messages that were taken on.
     pub taken_on: usize,
     /// Those of them that were delivered.
     pub delivered: usize,
     /// Most connections that were open at one partner.
     pub most_open: u32,
-    /// Processes that ended by themselves.
+    /// Processes that ended by themselves, or badly when told to.
     pub crashed: usize,
     /// What the rules say.
     #[serde(flatten)]
@@ -98,7 +119,8 @@
     Sender(#[from] NoSender),
 }
 
-fn settings(senders: usize) -> Value {
+/// Settings of a deployment with so many senders.
+pub(crate) fn settings(senders: usize) -> Value {
     json!({
         "balancers": senders, "discovery": "subscribe", "kinds": ["hook"], "localities": ["a"], "weights": "rough",
         "categories": [{"name": "event", "promise": 3_000_000_000u64, "deadline": 16_000_000_000u64, "effect": "token",
@@ -111,7 +133,8 @@
     })
 }
 
-fn target(n: usize, uid: &str, endpoint: &str) -> Value {
+/// A line of the directory.
+pub(crate) fn target(n: usize, uid: &str, endpoint: &str) -> Value {
     json!({"uid": uid, "endpoint": endpoint, "az": "a", "model": "hook", "pod_group": n % DESTS, "state": "active",
         "capacity_hint": 50.0, "boot_ms": 0})
 }
@@ -123,6 +146,7 @@
     senders: Vec<Sender>,
     handed: usize,
     random: fastrand::Rng,
+    ended_badly: usize,
 }
 
 impl Fleet<'_> {
@@ -147,9 +171,15 @@
         which.iter().try_for_each(|n| self.senders[*n].listens())
     }
 
-    /// Kills these, and lets the time pass after which the platform starts them again.
-    fn kill(&mut self, which: &[usize]) {
-        which.iter().for_each(|n| self.senders[*n].kill());
+    /// Ends these, and lets the time pass after which the platform starts them again.
+    fn end(&mut self, which: &[usize]) {
+        let ends = self.plan.ends;
+        let told = |n: &&usize| ends == Ends::Told || ends == Ends::Both && **n % 2 == 0;
+        which.iter().filter(told).for_each(|n| self.senders[*n].tell_to_end());
+        which.iter().filter(|n| !told(n)).for_each(|n| self.senders[*n].kill());
+        for n in which.iter().filter(told) {
+            self.ended_badly += usize::from(!self.senders[*n].ended_well());
+        }
         thread::sleep(AGAIN);
     }
 
@@ -189,8 +219,8 @@
     }
 }
 
-/// Plays it: a kept list of which a third names endpoints that are gone, all processes at once; when all are told, seven in ten are
-/// killed and come back at once.
+/// Plays it: a kept list of which a third names endpoints that are gone, all processes at once; when all are told, most of them
+/// end and come back.
 ///
 /// # Errors
 /// Stand-ins or processes could not be started.
@@ -198,7 +228,7 @@
     let record = Arc::new(Record::default());
     let mut targets = Vec::new();
     for n in 0..plan.endpoints {
-        let address = partner::start(Duration::from_millis(50), record.clone())?;
+        let address = partner::start(&format!("s{n}"), Duration::from_millis(50), record.clone())?;
         targets.push(target(n, &format!("s{n}"), &address.to_string()));
     }
     let directory = Directory::start(plan.ask, targets.clone(), record.clone())?;
@@ -210,24 +240,29 @@
     let config = |n: usize| {
         json!({"listen": "127.0.0.1:0", "discovery": directory.address, "seed": format!("{:016x}", plan.seed + n as u64),
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
-            "known": {"rev": 1, "all": true, "targets": kept}, "settings": settings(plan.senders)})
+            "known": {"rev": 1, "all": true, "targets": kept}, "settings": settings(plan.balancers)})
     };
-    let senders = (0..plan.senders).map(|n| Sender::new(&plan.program, format!("n{n}"), config(n)));
+    let senders =
+        (0..plan.senders).map(|n| Sender::new(&plan.program, format!("n{n}"), config(n), plan.together));
     let senders = senders.collect::<Result<Vec<_>, _>>()?;
     let random = fastrand::Rng::with_seed(plan.seed);
-    let mut fleet = Fleet { plan, record: record.clone(), senders, handed: 0, random };
+    let mut fleet = Fleet { plan, record: record.clone(), senders, handed: 0, random, ended_badly: 0 };
     let all: Vec<usize> = (0..plan.senders).collect();
     let start = fleet.round(&all, &directory)?;
 
-    let killed: Vec<usize> = all.iter().copied().filter(|n| n % 10 < 7).collect();
-    fleet.kill(&killed);
-    if plan.twice {
-        fleet.begin(&killed)?;
-        fleet.kill(&killed);
+    let ending: Vec<usize> = all.iter().copied().filter(|n| n % 10 < plan.of_ten).collect();
+    let mut back = Vec::new();
+    for batch in ending.chunks(ending.len().div_ceil(plan.batches.max(1)).max(1)) {
+        fleet.end(batch);
+        if plan.twice {
+            fleet.begin(batch)?;
+            fleet.end(batch);
+        }
+        back.push(fleet.round(batch, &directory)?);
     }
-    let back = fleet.round(&killed, &directory)?;
     record.settle(LEFT + Duration::from_secs(2));
-    let crashed = fleet.senders.iter_mut().filter_map(|s| (!s.lives()).then_some(())).count();
+    let dead = fleet.senders.iter_mut().filter_map(|s| (!s.lives()).then_some(())).count();
+    let crashed = dead + fleet.ended_badly;
     drop(fleet);
     let seen = record.seen();
     let count = |of: fn(&crate::record::Life) -> bool| seen.lives.values().filter(|l| of(l)).count();
@@ -243,11 +278,16 @@
         program: program.to_path_buf(),
         senders,
         seed,
+        balancers: senders,
         ask: Duration::from_millis(55),
         endpoints: 30,
         rate: 0.5 * senders as f64,
         down: Duration::ZERO,
         patience: Duration::from_secs(180),
+        of_ten: 7,
+        batches: 1,
+        ends: Ends::Killed,
+        together: 1.0,
         twice: false,
         stopped: Duration::ZERO,
         after: Duration::from_secs(3),
--- a/rig/src/directory.rs
+++ b/rig/src/directory.rs
@@ -4,7 +4,7 @@
 use crate::record::Record;
 use crate::Http;
 use serde_json::{json, Value};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, RecvTimeoutError, Sender};
@@ -25,11 +25,20 @@
     watches: Vec<TcpStream>,
     ask: Duration,
     down: bool,
+    /// Asks are answered 503 at once.
+    busy: bool,
+    /// Changes are told to nobody who watches.
+    quiet: bool,
+    /// The version in which an endpoint's line changed, by its uid.
+    changed: BTreeMap<String, u64>,
+    /// Who comes over which line, by the port that it connects to.
+    names: BTreeMap<u16, String>,
 }
 
 struct Shared {
     state: Mutex<State>,
     come: Condvar,
+    news: Condvar,
     record: Arc<Record>,
 }
 
@@ -55,7 +64,8 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let state = State { rev: 2, targets, ask, ..State::default() };
-        let shared = Arc::new(Shared { state: Mutex::new(state), come: Condvar::new(), record });
+        let shared =
+            Arc::new(Shared { state: Mutex::new(state), come: Condvar::new(), news: Condvar::new(), record });
         let (works, serves) = (shared.clone(), shared.clone());
         thread::spawn(move || work(&works));
         thread::spawn(move || {
@@ -68,6 +78,37 @@
         Ok(Directory { address, shared })
     }
 
+    /// Whoever connects to this port is this sender.
+    pub fn names(&self, port: u16, sender: &str) {
+        self.shared.state().names.insert(port, sender.to_string());
+    }
+
+    /// Changes an endpoint's state, and tells those who watch.
+    pub fn change(&self, uid: &str, condition: &str) {
+        let mut state = self.shared.state();
+        state.rev += 1;
+        let rev = state.rev;
+        state.changed.insert(uid.to_string(), rev);
+        state.targets.iter_mut().filter(|t| t["uid"] == uid).for_each(|t| t["state"] = condition.into());
+        drop(state);
+        self.shared.news.notify_all();
+    }
+
+    /// Tells nobody who watches of changes, or does again.
+    pub fn quiet(&self, quiet: bool) {
+        self.shared.state().quiet = quiet;
+    }
+
+    /// Answers 503 to each ask at once, or serves them again.
+    pub fn busy(&self, busy: bool) {
+        self.shared.state().busy = busy;
+    }
+
+    /// Needs so long for each ask from now on.
+    pub fn takes(&self, ask: Duration) {
+        self.shared.state().ask = ask;
+    }
+
     /// Goes down, which ends all watches, or comes back.
     pub fn down(&self, down: bool) {
         let mut state = self.shared.state();
@@ -107,20 +148,25 @@
             }
             stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n")?;
         } else {
-            return watch(stream, shared);
+            return watch(stream, &request, shared);
         }
     }
     Ok(())
 }
 
-fn watch(mut stream: &TcpStream, shared: &Shared) -> io::Result<()> {
+fn watch(mut stream: &TcpStream, request: &Http, shared: &Shared) -> io::Result<()> {
     let (asker, served) = channel();
+    let port = request.header("host").and_then(|h| h.rsplit(':').next()?.parse::<u16>().ok());
     {
         let mut state = shared.state();
         if state.down {
             return stream.shutdown(Shutdown::Both);
         }
         shared.record.seen().asks += 1;
+        if state.busy {
+            shared.record.seen().failed += 1;
+            return stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        }
         state.queue.push_back(asker);
     }
     shared.come.notify_one();
@@ -131,19 +177,41 @@
         }
         return stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
     }
-    let list = {
+    let (name, mut told, targets) = {
         let mut state = shared.state();
         if state.down {
             return stream.shutdown(Shutdown::Both);
         }
         state.watches.push(stream.try_clone()?);
-        json!({"rev": state.rev, "all": true, "targets": state.targets})
+        let name = port.and_then(|p| state.names.get(&p)).cloned().unwrap_or_default();
+        (name, state.rev, state.targets.clone())
     };
-    let line = format!("{list}\n");
-    write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len())?;
+    let tell = |mut stream: &TcpStream, rev: u64, all: bool, targets: &[Value]| -> io::Result<()> {
+        let line = format!("{}\n", json!({"rev": rev, "all": all, "targets": targets}));
+        write!(stream, "{:x}\r\n{line}\r\n", line.len())?;
+        let wants = targets.iter().map(|t| (t["uid"].as_str().unwrap_or_default(), t["state"] == "active"));
+        shared.record.told_of(&name, wants);
+        Ok(())
+    };
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    tell(stream, told, true, &targets)?;
     shared.record.seen().told.push(Instant::now());
     loop {
-        thread::sleep(BEAT);
-        stream.write_all(b"1\r\n\n\r\n")?;
+        let (rev, targets) = {
+            let state = shared.state();
+            let same = |s: &mut State| s.rev == told || s.quiet;
+            let (state, _) =
+                shared.news.wait_timeout_while(state, BEAT, same).unwrap_or_else(|e| e.into_inner());
+            let is_new = |t: &&Value| t["uid"].as_str().and_then(|u| state.changed.get(u)) > Some(&told);
+            let new =
+                if state.quiet { vec![] } else { state.targets.iter().filter(is_new).cloned().collect() };
+            (state.rev, new)
+        };
+        if targets.is_empty() {
+            stream.write_all(b"1\r\n\n\r\n")?;
+        } else {
+            tell(stream, rev, false, &targets)?;
+            told = rev;
+        }
     }
 }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod directory;
 pub mod partner;
 pub mod record;
+pub mod relay;
+pub mod scenario;
 pub mod sender;
 
 use std::io::{self, BufRead, Read};
--- a/rig/src/partner.rs
+++ b/rig/src/partner.rs
@@ -9,17 +9,18 @@
 use std::thread;
 use std::time::Duration;
 
-/// Starts one that delivers each call after `takes`.
+/// Starts one, known by `uid`, that delivers each call after `takes`.
 ///
 /// # Errors
 /// No port is to be had.
-pub fn start(takes: Duration, record: Arc<Record>) -> io::Result<SocketAddr> {
+pub fn start(uid: &str, takes: Duration, record: Arc<Record>) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
+    let uid: Arc<str> = uid.into();
     let open = Arc::new(AtomicU32::new(0));
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            let (record, open) = (record.clone(), open.clone());
+            let (record, open, uid) = (record.clone(), open.clone(), uid.clone());
             thread::spawn(move || {
                 let now = open.fetch_add(1, Ordering::SeqCst) + 1;
                 {
@@ -28,7 +29,7 @@
                     seen.most_open = seen.most_open.max(now);
                 }
                 // A connection that breaks has ended, and that is all there is to say of it.
-                let _ = serve(&stream, takes, &record);
+                let _ = serve(&stream, &uid, takes, &record);
                 open.fetch_sub(1, Ordering::SeqCst);
             });
         }
@@ -36,11 +37,11 @@
     Ok(address)
 }
 
-fn serve(mut stream: &TcpStream, takes: Duration, record: &Record) -> io::Result<()> {
+fn serve(mut stream: &TcpStream, uid: &str, takes: Duration, record: &Record) -> io::Result<()> {
     let mut reader = BufReader::new(stream);
     while let Some((call, _)) = Http::read(&mut reader)? {
         let id = call.header("x-txn").unwrap_or_default().to_string();
-        record.called(&id);
+        record.called(&id, uid);
         thread::sleep(takes);
         let answered = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         record.ended(&id, answered.is_ok());
--- /dev/null
+++ b/rig/src/scenario.rs
@@ -0,0 +1,541 @@
+//! A schedule of faults over many processes, read from a file and played.
+
+use crate::cold_start::{settings, target, NotPlayed, DESTS, LEFT};
+use crate::directory::Directory;
+use crate::partner;
+use crate::record::{Life, Record, Verdict};
+use crate::relay::{Fault, Relay};
+use crate::sender::{Log, Sender};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Between two looks at what is due.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// What is played.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Processes, `n0`, `n1` and so on.
+    pub senders: usize,
+    /// How many the settings say that there are; these, if nothing is said.
+    pub balancers: Option<usize>,
+    /// Endpoints, `s0`, `s1` and so on, ten destinations in turn.
+    #[serde(default = "endpoints")]
+    pub endpoints: usize,
+    /// What an ask costs the directory, in milliseconds.
+    #[serde(default = "ask_ms")]
+    pub ask_ms: u64,
+    /// What a call takes, in milliseconds.
+    #[serde(default = "call_ms")]
+    pub call_ms: u64,
+    /// Messages a second over all senders.
+    pub rate: f64,
+    /// They are handed in for so long, in seconds.
+    pub lasts_s: f64,
+    /// What the kept lists name.
+    #[serde(default)]
+    pub kept: Kept,
+    /// The share of all senders that restarts together, as the program is told.
+    #[serde(default = "all")]
+    pub together: f64,
+    /// What has to come out of it.
+    #[serde(default)]
+    pub wanted: Wanted,
+    /// What happens.
+    #[serde(default, rename = "step")]
+    pub steps: Vec<Step>,
+}
+
+/// What a kept list names.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kept {
+    /// The endpoints that there are.
+    #[default]
+    True,
+    /// For a third of them others that are gone.
+    ThirdGone,
+    /// Others that are gone, and none of them.
+    Gone,
+}
+
+/// What has to come out, beside the rules.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Wanted {
+    /// Least part of what was taken on that is delivered.
+    pub delivered: f64,
+    /// Most asks for the list.
+    pub asks: Option<u32>,
+    /// Least answers that lines broke off: that the fault came about.
+    pub broken_off: u32,
+}
+
+/// Something that happens.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// Seconds from the beginning, or from when `after` holds.
+    #[serde(default)]
+    pub at_s: f64,
+    /// A sender logs something.
+    pub after: Option<After>,
+    /// To whom; to all, if nothing is said.
+    #[serde(default)]
+    pub who: Who,
+    /// What.
+    #[serde(rename = "does")]
+    pub deed: Deed,
+}
+
+/// A line of a log.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct After {
+    /// The sender.
+    pub who: String,
+    /// Words of the line.
+    pub says: String,
+    /// What was said earlier does not count, in seconds from the beginning.
+    #[serde(default)]
+    pub since_s: f64,
+}
+
+/// Some senders.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+pub enum Who {
+    /// By name.
+    Names(Vec<String>),
+    /// So great a part of them, the first ones.
+    Share(f64),
+}
+
+impl Default for Who {
+    fn default() -> Self {
+        Who::Share(1.0)
+    }
+}
+
+/// What happens to senders, their lines to the directory, the directory, or its list.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Deed {
+    /// Processes start.
+    Start,
+    /// They are killed.
+    Kill,
+    /// They are told to end.
+    TellToEnd,
+    /// They stand still.
+    Stop,
+    /// They go on.
+    GoOn,
+    /// They are told to read their configuration again.
+    HangUp,
+    /// The folders of those that do not run are lost.
+    LoseFolder,
+    /// Their lines to the directory have this fault and no other; an empty one heals them.
+    Line(Fault),
+    /// The directory is down.
+    DirectoryDown,
+    /// It is back.
+    DirectoryBack,
+    /// It answers 503 to each ask, or serves them again.
+    Busy(bool),
+    /// It tells nobody of changes, or does again.
+    Quiet(bool),
+    /// It needs so many milliseconds for an ask.
+    AskMs(u64),
+    /// An endpoint drains.
+    Drain(String),
+    /// It has left.
+    Leave(String),
+    /// It is back.
+    Return(String),
+}
+
+fn endpoints() -> usize {
+    30
+}
+
+fn ask_ms() -> u64 {
+    55
+}
+
+fn call_ms() -> u64 {
+    50
+}
+
+fn all() -> f64 {
+    1.0
+}
+
+/// A file that cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum NoScenario {
+    /// It cannot be read.
+    #[error("{0}: {1}")]
+    Unread(String, std::io::Error),
+    /// A field is not what it should be.
+    #[error("{0}: {1}: {2}")]
+    Field(String, String, String),
+}
+
+impl Scenario {
+    /// Reads one.
+    ///
+    /// # Errors
+    /// The file cannot be read, or a field of it cannot be used: one line with its name.
+    pub fn read(file: &Path) -> Result<Scenario, NoScenario> {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file).map_err(|e| NoScenario::Unread(name.clone(), e))?;
+        Scenario::of(&name, &text)
+    }
+
+    /// Reads the text of one.
+    ///
+    /// # Errors
+    /// As [`Scenario::read`].
+    pub fn of(name: &str, text: &str) -> Result<Scenario, NoScenario> {
+        let field = |field: &str, why: &str| {
+            NoScenario::Field(name.to_string(), field.to_string(), why.trim().replace('\n', " "))
+        };
+        let reader = toml::Deserializer::parse(text).map_err(|e| field("toml", e.message()))?;
+        let scenario: Scenario = serde_path_to_error::deserialize(reader)
+            .map_err(|e| field(&e.path().to_string(), e.inner().message()))?;
+        match scenario.fault() {
+            Some((at, why)) => Err(field(&at, &why)),
+            None => Ok(scenario),
+        }
+    }
+
+    /// The first value that is well formed and cannot be used.
+    fn fault(&self) -> Option<(String, String)> {
+        let is_sender = |name: &str| (0..self.senders).any(|n| name == format!("n{n}"));
+        let is_endpoint = |uid: &str| (0..self.endpoints).any(|n| uid == format!("s{n}"));
+        let is_span = |s: f64| (0.0..=3_600.0).contains(&s);
+        let all = [
+            ("senders", (1..=3_000).contains(&self.senders), "1 to 3000 can be started"),
+            ("endpoints", (DESTS..=1_000).contains(&self.endpoints), "10 to 1000 can be started"),
+            ("rate", self.rate > 0.0 && self.rate <= 10_000.0, "above 0, at most 10000"),
+            ("lasts_s", is_span(self.lasts_s), "0 to 3600"),
+            ("together", self.together > 0.0 && self.together <= 1.0, "above 0, at most 1"),
+            ("wanted.delivered", (0.0..=1.0).contains(&self.wanted.delivered), "0 to 1"),
+        ];
+        let one = all.into_iter().find(|(_, good, _)| !good);
+        one.map(|(field, _, why)| (field.to_string(), why.to_string())).or_else(|| {
+            self.steps.iter().enumerate().find_map(|(n, step)| {
+                let fault = |field: &str, why: String| Some((format!("step[{n}].{field}"), why));
+                if !is_span(step.at_s) {
+                    return fault("at_s", "0 to 3600".into());
+                }
+                if let Some(after) = step.after.as_ref().filter(|a| !is_sender(&a.who)) {
+                    return fault("after.who", format!("there is no sender '{}'", after.who));
+                }
+                match &step.who {
+                    Who::Share(share) if !(0.0..=1.0).contains(share) => {
+                        return fault("who", "0 to 1".into())
+                    }
+                    Who::Names(names) => {
+                        if let Some(name) = names.iter().find(|n| !is_sender(n)) {
+                            return fault("who", format!("there is no sender '{name}'"));
+                        }
+                    }
+                    Who::Share(_) => {}
+                }
+                match &step.deed {
+                    Deed::Drain(uid) | Deed::Leave(uid) | Deed::Return(uid) if !is_endpoint(uid) => {
+                        fault("does", format!("there is no endpoint '{uid}'"))
+                    }
+                    _ => None,
+                }
+            })
+        })
+    }
+
+    fn those(&self, who: &Who) -> Vec<usize> {
+        match who {
+            Who::Share(share) => (0..(share * self.senders as f64).ceil() as usize).collect(),
+            Who::Names(names) => (0..self.senders).filter(|n| names.contains(&format!("n{n}"))).collect(),
+        }
+    }
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Outcome {
+    /// Steps that were taken.
+    pub steps: usize,
+    /// Messages that were handed in.
+    pub handed: usize,
+    /// Those that were taken on.
+    pub taken_on: usize,
+    /// Those of them that were delivered.
+    pub delivered: usize,
+    /// Asks for the list.
+    pub asks: u32,
+    /// Those that failed.
+    pub failed: u32,
+    /// Lists that were written in full.
+    pub told: usize,
+    /// Answers that lines broke off.
+    pub broken_off: u32,
+    /// Connections to endpoints.
+    pub connections: u32,
+    /// Most that were open at one endpoint.
+    pub most_open: u32,
+    /// Processes that ended by themselves, or badly when told to.
+    pub crashed: usize,
+    /// What the rules say.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+    /// What was wanted and did not come out.
+    pub missed: Vec<String>,
+}
+
+impl Outcome {
+    /// Whether all is as it should be.
+    pub fn is_good(&self) -> bool {
+        self.verdict == Verdict::default() && self.crashed == 0 && self.missed.is_empty()
+    }
+}
+
+/// A fleet under a schedule.
+struct Play<'a> {
+    scenario: &'a Scenario,
+    record: Arc<Record>,
+    directory: Directory,
+    senders: Vec<Sender>,
+    lines: Vec<Relay>,
+    /// Those that should run.
+    run: Vec<bool>,
+    /// Those that were told to end.
+    ending: Vec<bool>,
+    crashed: usize,
+}
+
+impl Play<'_> {
+    fn hears(&self, n: usize, hears: bool) {
+        self.record.deaf(&self.senders[n].name, !hears);
+    }
+
+    /// Waits for a process that was told to end.
+    fn ended(&mut self, n: usize) {
+        if std::mem::take(&mut self.ending[n]) {
+            self.crashed += usize::from(!self.senders[n].ended_well());
+        }
+    }
+
+    fn does(&mut self, deed: &Deed, which: &[usize]) -> Result<(), NotPlayed> {
+        match deed {
+            Deed::Start => {
+                for &n in which {
+                    self.ended(n);
+                    self.senders[n].spawn()?;
+                    self.run[n] = true;
+                }
+            }
+            Deed::Kill => {
+                for &n in which {
+                    self.crashed += usize::from(self.run[n] && !self.senders[n].lives());
+                    self.senders[n].kill();
+                    self.run[n] = false;
+                }
+            }
+            Deed::TellToEnd => {
+                for &n in which {
+                    self.senders[n].tell_to_end();
+                    self.ending[n] |= std::mem::take(&mut self.run[n]);
+                }
+            }
+            Deed::Stop | Deed::GoOn => {
+                for &n in which {
+                    self.senders[n].stopped(*deed == Deed::Stop);
+                    self.hears(n, *deed != Deed::Stop);
+                }
+            }
+            Deed::HangUp => which.iter().for_each(|&n| self.senders[n].hang_up()),
+            Deed::LoseFolder => {
+                for &n in which {
+                    self.ended(n);
+                    self.senders[n].lose_folder()?;
+                }
+            }
+            Deed::Line(fault) => {
+                for &n in which {
+                    self.hears(n, *fault == Fault::default());
+                    self.lines[n].set(*fault);
+                }
+            }
+            Deed::DirectoryDown => self.directory.down(true),
+            Deed::DirectoryBack => self.directory.down(false),
+            Deed::Busy(busy) => self.directory.busy(*busy),
+            Deed::Quiet(quiet) => self.directory.quiet(*quiet),
+            Deed::AskMs(ms) => self.directory.takes(Duration::from_millis(*ms)),
+            Deed::Drain(uid) => self.directory.change(uid, "leaving"),
+            Deed::Leave(uid) => self.directory.change(uid, "left"),
+            Deed::Return(uid) => self.directory.change(uid, "active"),
+        }
+        Ok(())
+    }
+}
+
+/// Plays it with a program.
+///
+/// # Errors
+/// Stand-ins or processes could not be started.
+pub fn play(scenario: &Scenario, program: &Path, seed: u64) -> Result<Outcome, NotPlayed> {
+    let record = Arc::new(Record::default());
+    let mut targets = Vec::new();
+    for n in 0..scenario.endpoints {
+        let uid = format!("s{n}");
+        let address = partner::start(&uid, Duration::from_millis(scenario.call_ms), record.clone())?;
+        targets.push(target(n, &uid, &address.to_string()));
+    }
+    let directory =
+        Directory::start(Duration::from_millis(scenario.ask_ms), targets.clone(), record.clone())?;
+    // Nobody listens on these ports of the loopback addresses.
+    let gone = |n: usize| target(n, &format!("gone{n}"), &format!("127.0.0.9:{}", 1 + n));
+    let is_gone = |n: usize| scenario.kept == Kept::Gone || scenario.kept == Kept::ThirdGone && n % 3 == 0;
+    let kept: Vec<Value> =
+        targets.iter().enumerate().map(|(n, t)| if is_gone(n) { gone(n) } else { t.clone() }).collect();
+    let (mut senders, mut lines) = (Vec::new(), Vec::new());
+    for n in 0..scenario.senders {
+        let (name, line) = (format!("n{n}"), Relay::start(directory.address)?);
+        directory.names(line.address.port(), &name);
+        let config = json!({"listen": "127.0.0.1:0", "discovery": line.address,
+            "seed": format!("{:016x}", seed + n as u64),
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
+            "known": {"rev": 1, "all": true, "targets": kept},
+            "settings": settings(scenario.balancers.unwrap_or(scenario.senders))});
+        senders.push(Sender::new(program, name, config, scenario.together)?);
+        lines.push(line);
+    }
+    let (run, ending) = (vec![false; senders.len()], vec![false; senders.len()]);
+    let mut play =
+        Play { scenario, record: record.clone(), directory, senders, lines, run, ending, crashed: 0 };
+    let (steps, handed) = run_through(&mut play, seed)?;
+    record.settle(LEFT + Duration::from_secs(2));
+    (0..scenario.senders).for_each(|n| play.ended(n));
+    let dead =
+        play.senders.iter_mut().zip(&play.run).filter_map(|(s, run)| (*run && !s.lives()).then_some(()));
+    let crashed = play.crashed + dead.count();
+    let broken_off = play.lines.iter().map(Relay::broken).sum();
+    drop(play);
+    let verdict = record.verdict();
+    let seen = record.seen();
+    let count = |of: fn(&Life) -> bool| seen.lives.values().filter(|l| of(l)).count();
+    let mut outcome = Outcome {
+        steps,
+        handed,
+        taken_on: count(|l| l.taken_on),
+        delivered: count(|l| l.taken_on && l.delivered > 0),
+        asks: seen.asks,
+        failed: seen.failed,
+        told: seen.told.len(),
+        broken_off,
+        connections: seen.connections,
+        most_open: seen.most_open,
+        crashed,
+        verdict,
+        missed: Vec::new(),
+    };
+    let wanted = &scenario.wanted;
+    let missed = [
+        ("steps", steps < scenario.steps.len()),
+        ("delivered", (outcome.delivered as f64) < wanted.delivered * outcome.taken_on as f64),
+        ("asks", wanted.asks.is_some_and(|most| outcome.asks > most)),
+        ("broken_off", broken_off < wanted.broken_off),
+        ("taken_on", outcome.taken_on == 0),
+    ];
+    outcome.missed = missed.iter().filter(|m| m.1).map(|m| m.0.to_string()).collect();
+    Ok(outcome)
+}
+
+/// Takes the steps as they come due and hands messages in. How many of each there were.
+fn run_through(play: &mut Play, seed: u64) -> Result<(usize, usize), NotPlayed> {
+    let begun = Instant::now();
+    let mut random = fastrand::Rng::with_seed(seed);
+    // When a step may come, as far as that is known.
+    let mut from: Vec<Option<Instant>> =
+        play.scenario.steps.iter().map(|s| s.after.is_none().then_some(begun)).collect();
+    let mut open: Vec<usize> = (0..from.len()).collect();
+    let (mut handed, mut clients) = (0, Vec::new());
+    while begun.elapsed().as_secs_f64() < play.scenario.lasts_s {
+        let mut due: Vec<(Instant, usize)> = Vec::new();
+        for &n in &open {
+            let step = &play.scenario.steps[n];
+            if let (None, Some(after)) = (from[n], &step.after) {
+                // A process that was ended has no log any more.
+                let since = begun.elapsed().as_secs_f64() >= after.since_s;
+                let said =
+                    since && play.senders.iter().any(|s| s.name == after.who && s.log().said(&after.says));
+                from[n] = said.then(Instant::now);
+            }
+            let at = from[n].map(|f| f + Duration::from_secs_f64(step.at_s));
+            due.extend(at.filter(|at| *at <= Instant::now()).map(|at| (at, n)));
+        }
+        due.sort();
+        for (_, n) in &due {
+            let step = &play.scenario.steps[*n];
+            play.does(&step.deed, &play.scenario.those(&step.who))?;
+        }
+        open.retain(|n| !due.iter().any(|(_, d)| d == n));
+        while (handed as f64) < begun.elapsed().as_secs_f64() * play.scenario.rate {
+            let sender = random.usize(..play.senders.len());
+            let (dest, id) = (random.usize(..DESTS), format!("m{handed}"));
+            let (log, name): (Arc<Log>, _) = (play.senders[sender].log(), play.senders[sender].name.clone());
+            handed += 1;
+            if log.listens() {
+                let record = play.record.clone();
+                clients.push(thread::spawn(move || log.hand_in(&name, &id, dest, LEFT, &record)));
+            }
+        }
+        clients.retain(|c| !c.is_finished());
+        thread::sleep(LOOK);
+    }
+    clients.into_iter().for_each(|c| drop(c.join()));
+    Ok((play.scenario.steps.len() - open.len(), handed))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_scenario_that_cannot_be_used_names_file_and_field() {
+        let good = "senders = 3\nrate = 5.0\nlasts_s = 2.0\n";
+        assert!(Scenario::of("x", good).is_ok());
+        for (text, told) in [
+            ("senders = 3\nrate = 5.0\n", "x: .: missing field `lasts_s`"),
+            ("senders = 3\nrate = 5.0\nlasts_s = -1\n", "x: lasts_s: 0 to 3600"),
+            (&format!("{good}sender = 3"), "x: sender: unknown field `sender`"),
+            (&format!("{good}[[step]]\ndoes = \"explode\""), "x: step[0].does: unknown variant `explode`"),
+            (
+                &format!("{good}[[step]]\nwho = [\"n3\"]\ndoes = \"kill\""),
+                "x: step[0].who: there is no sender 'n3'",
+            ),
+            (
+                &format!("{good}[[step]]\ndoes = {{ drain = \"s30\" }}"),
+                "x: step[0].does: there is no endpoint 's30'",
+            ),
+            (
+                &format!("{good}[[step]]\ndoes = {{ line = {{ dealy_ms = 3 }} }}"),
+                "x: step[0].does.line.dealy_ms: unknown field `dealy_ms`",
+            ),
+            (
+                &format!("{good}[[step]]\nafter = {{ who = \"m1\", says = \"x\" }}\ndoes = \"kill\""),
+                "x: step[0].after.who: there is no sender 'm1'",
+            ),
+        ] {
+            let error = Scenario::of("x", text).expect_err("refused").to_string();
+            assert!(error.starts_with(told) && !error.contains('\n'), "{error}");
+        }
+    }
+}
--- a/rig/src/sender.rs
+++ b/rig/src/sender.rs
@@ -8,13 +8,15 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::channel;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
 /// A program says where it listens within this time.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Lines that are kept of a log.
+const FIRST: usize = 40;
 /// A client waits so long for the answer to a message.
 const ANSWER: Duration = Duration::from_millis(400);
 
@@ -35,38 +37,60 @@
     pub name: String,
     program: PathBuf,
     folder: TempDir,
+    together: f64,
     child: Option<Child>,
-    address: Option<SocketAddr>,
+    log: Arc<Log>,
 }
 
 impl Sender {
-    /// One that is told this configuration, with a folder of its own; it is not started yet.
+    /// One that is told this configuration and what share of all senders restarts together, with a folder of its own; it is not
+    /// started yet.
     ///
     /// # Errors
     /// The folder cannot be written.
-    pub fn new(program: &Path, name: String, mut config: Value) -> Result<Sender, NoSender> {
+    pub fn new(program: &Path, name: String, mut config: Value, together: f64) -> Result<Sender, NoSender> {
         let failed = |e| NoSender::Io(program.to_path_buf(), e);
         let folder = TempDir::new().map_err(failed)?;
         std::fs::create_dir(folder.path().join("state")).map_err(failed)?;
         config["name"] = name.clone().into();
         std::fs::write(folder.path().join("config.json"), config.to_string()).map_err(failed)?;
-        Ok(Sender { name, program: program.to_path_buf(), folder, child: None, address: None })
+        Ok(Sender {
+            name,
+            program: program.to_path_buf(),
+            folder,
+            together,
+            child: None,
+            log: Arc::default(),
+        })
     }
 
-    /// Starts its process, and waits for nothing.
+    /// Starts its process, and waits for nothing. One that runs already is killed.
     ///
     /// # Errors
     /// There is no such program.
     pub fn spawn(&mut self) -> Result<(), NoSender> {
+        self.kill();
         let child = Command::new(&self.program)
             .env("NODE_CONFIG", self.folder.path().join("config.json"))
             .env("NODE_STATE", self.folder.path().join("state"))
+            .env("RAILDEAL_RESTARTS_TOGETHER", self.together.to_string())
             .env("RUST_LOG", "info")
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn();
-        self.child = Some(child.map_err(|e| NoSender::Io(self.program.clone(), e))?);
-        self.address = None;
+        let mut child = child.map_err(|e| NoSender::Io(self.program.clone(), e))?;
+        let (stderr, log) = (child.stderr.take(), Arc::<Log>::default());
+        self.log = log.clone();
+        thread::spawn(move || {
+            stderr
+                .into_iter()
+                .flat_map(|s| BufReader::new(s).lines())
+                .map_while(Result::ok)
+                .for_each(|l| log.hear(l));
+            log.seen().over = true;
+            log.news.notify_all();
+        });
+        self.child = Some(child);
         Ok(())
     }
 
@@ -74,23 +98,20 @@
     ///
     /// # Errors
     /// It does not.
-    pub fn listens(&mut self) -> Result<(), NoSender> {
-        let stderr = self.child.as_mut().and_then(|c| c.stderr.take());
-        let Some(stderr) = stderr else { return Ok(()) };
-        let (sender, lines) = channel();
-        thread::spawn(move || {
-            // What it logs later is read and dropped, or it would wait for a reader.
-            BufReader::new(stderr).lines().map_while(Result::ok).for_each(|l| drop(sender.send(l)));
-        });
-        let mut seen = Vec::new();
-        while let Ok(line) = lines.recv_timeout(PATIENCE) {
-            self.address = line.split_once("platform at ").and_then(|(_, at)| at.trim().parse().ok());
-            if self.address.is_some() {
-                return Ok(());
-            }
-            seen.push(line);
+    pub fn listens(&self) -> Result<(), NoSender> {
+        let seen = self.log.seen();
+        let silent = |log: &mut Said| log.address.is_none() && !log.over;
+        let (seen, _) =
+            self.log.news.wait_timeout_while(seen, PATIENCE, silent).unwrap_or_else(|e| e.into_inner());
+        match seen.address {
+            Some(_) => Ok(()),
+            None => Err(NoSender::Silent(self.name.clone(), PATIENCE, seen.first.join("; "))),
         }
-        Err(NoSender::Silent(self.name.clone(), PATIENCE, seen.join("; ")))
+    }
+
+    /// What it logs.
+    pub fn log(&self) -> Arc<Log> {
+        self.log.clone()
     }
 
     /// Kills it; its folder stays.
@@ -99,14 +120,44 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        self.address = None;
+        self.log = Arc::default();
     }
 
-    /// Stops its process for a while, or lets it go on: it neither reads nor answers meanwhile.
-    pub fn stopped(&self, stopped: bool) {
+    /// Tells it to end.
+    pub fn tell_to_end(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits until it has ended, and tells whether it did as it should.
+    pub fn ended_well(&mut self) -> bool {
+        let Some(mut child) = self.child.take() else { return false };
+        self.log = Arc::default();
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            match child.try_wait() {
+                Ok(None) => thread::sleep(Duration::from_millis(5)),
+                ended => return ended.is_ok_and(|e| e.is_some_and(|e| e.success())),
+            }
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        false
+    }
+
+    /// Tells it to read its configuration again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    fn signal(&self, signal: Signal) {
         let pid = self.child.as_ref().and_then(|c| Pid::from_raw(c.id() as i32));
         // One that is gone has stopped for good.
-        let _ = pid.map(|pid| kill_process(pid, if stopped { Signal::STOP } else { Signal::CONT }));
+        let _ = pid.map(|pid| kill_process(pid, signal));
+    }
+
+    /// Stops its process for a while, or lets it go on: it neither reads nor answers meanwhile.
+    pub fn stopped(&self, stopped: bool) {
+        self.signal(if stopped { Signal::STOP } else { Signal::CONT });
     }
 
     /// Whether its process lives.
@@ -116,7 +167,75 @@
 
     /// Hands a message for a destination in and waits for the answer as clients do. Whether it was taken on.
     pub fn hand_in(&self, id: &str, dest: usize, left: Duration, record: &Record) -> bool {
-        let Some(address) = self.address else { return false };
+        self.log.hand_in(&self.name, id, dest, left, record)
+    }
+
+    /// Its folder is lost.
+    ///
+    /// # Errors
+    /// It cannot be emptied.
+    pub fn lose_folder(&self) -> io::Result<()> {
+        let state = self.folder.path().join("state");
+        std::fs::remove_dir_all(&state)?;
+        std::fs::create_dir(state)
+    }
+}
+
+/// What one process logs.
+#[derive(Default)]
+pub struct Log {
+    seen: Mutex<Said>,
+    news: Condvar,
+}
+
+/// What was said so far.
+#[derive(Default)]
+struct Said {
+    address: Option<SocketAddr>,
+    /// The first lines, which tell why it does not start.
+    first: Vec<String>,
+    /// Words that are waited for, and whether a line had them.
+    words: Vec<(String, bool)>,
+    over: bool,
+}
+
+impl Log {
+    fn seen(&self) -> MutexGuard<'_, Said> {
+        self.seen.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn hear(&self, line: String) {
+        let mut seen = self.seen();
+        seen.words.iter_mut().for_each(|(words, heard)| *heard |= line.contains(words.as_str()));
+        if let Some(at) = line.split_once("platform at ").and_then(|(_, at)| at.trim().parse().ok()) {
+            seen.address = Some(at);
+            self.news.notify_all();
+        }
+        if seen.first.len() < FIRST {
+            seen.first.push(line);
+        }
+    }
+
+    /// Whether it listens.
+    pub fn listens(&self) -> bool {
+        self.seen().address.is_some()
+    }
+
+    /// Whether a line had these words since they were first asked for.
+    pub fn said(&self, words: &str) -> bool {
+        let mut seen = self.seen();
+        let known = seen.words.iter().find(|(w, _)| w == words).map(|(_, heard)| *heard);
+        known.unwrap_or_else(|| {
+            let heard = seen.first.iter().any(|l| l.contains(words));
+            seen.words.push((words.to_string(), heard));
+            heard
+        })
+    }
+
+    /// Hands a message for a destination in and waits for the answer as clients do. Whether it was taken on.
+    pub fn hand_in(&self, sender: &str, id: &str, dest: usize, left: Duration, record: &Record) -> bool {
+        let Some(address) = self.seen().address else { return false };
+        record.handed(id, sender);
         let ask = || -> io::Result<bool> {
             let mut stream = TcpStream::connect(address)?;
             stream.set_read_timeout(Some(ANSWER))?;
--- a/tests/many/main.rs
+++ b/tests/many/main.rs
@@ -1,7 +1,8 @@
 //! Several processes of the program with faults between them, judged by what the stand-ins saw.
 
-use raildeal_rig::cold_start::{plan, play, Plan, Played};
+use raildeal_rig::cold_start::{plan, play, Ends, Plan, Played};
 use raildeal_rig::record::Verdict;
+use raildeal_rig::scenario::{self, Scenario};
 use std::path::Path;
 use std::time::Duration;
 
@@ -14,7 +15,8 @@
     change(&mut plan);
     let played = play(&plan).expect("played");
     assert_eq!((played.verdict, played.crashed), (Verdict::default(), 0), "{played:?}");
-    assert_eq!((played.start.told, played.back.told), (SENDERS, 9), "{played:?}");
+    let (began, told) = played.back.iter().fold((0, 0), |s, b| (s.0 + b.began, s.1 + b.told));
+    assert_eq!((played.start.told, told), (SENDERS, began), "{played:?}");
     assert!(played.delivered > 0 && played.delivered * 10 >= played.taken_on * 8, "{played:?}");
     played
 }
@@ -22,7 +24,7 @@
 #[test]
 fn a_fleet_that_starts_at_once_and_comes_back_from_kills_is_told_and_loses_nothing() {
     let played = by(|_| ());
-    assert_eq!((played.start.failed, played.back.failed), (0, 0), "{played:?}");
+    assert_eq!((played.start.failed, played.back[0].failed), (0, 0), "{played:?}");
 }
 
 #[test]
@@ -41,5 +43,45 @@
 #[test]
 fn a_fleet_killed_again_in_its_take_up_and_a_machine_that_stands_still_lose_nothing() {
     let played = by(|p| (p.twice, p.stopped) = (true, Duration::from_secs(4)));
-    assert!(played.back.asks >= 9, "{played:?}");
+    assert!(played.back[0].asks >= 9, "{played:?}");
+}
+
+#[test]
+fn a_planned_restart_waits_for_its_share_only_and_one_after_a_kill_for_all() {
+    // Twelve of a fleet of a hundred: a start of all is spread over 3 s, one of a tenth over 0.3 s.
+    let roll = |ends| {
+        by(|p| {
+            (p.balancers, p.of_ten, p.ends, p.together) = (100, 10, ends, 0.1);
+            p.after = Duration::from_millis(500);
+        })
+    };
+    let (told, killed) = (roll(Ends::Told), roll(Ends::Killed));
+    assert!(killed.back[0].last_s > 2.0 * told.back[0].last_s, "{told:?} {killed:?}");
+}
+
+#[test]
+fn restarts_of_more_than_the_share_that_is_told_wait_longer_and_lose_nothing() {
+    // All twelve come back at once and ask at once, where one at a time was told: 6 s of work for the directory.
+    let played = by(|p| {
+        (p.of_ten, p.ends, p.together) = (10, Ends::Both, 0.1);
+        p.ask = Duration::from_millis(500);
+    });
+    assert!(played.back[0].asks <= 3 * SENDERS as u32, "{played:?}");
+}
+
+fn schedule(file: &str) {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/many").join(file);
+    let scenario = Scenario::read(&file).expect("a scenario");
+    let played = scenario::play(&scenario, Path::new(env!("CARGO_BIN_EXE_raildeal")), 7).expect("played");
+    assert!(played.is_good(), "{played:?}");
+}
+
+#[test]
+fn a_fleet_half_of_which_is_cut_off_obeys_the_drains_that_it_is_told_and_loses_nothing() {
+    schedule("cut.toml");
+}
+
+#[test]
+fn processes_that_die_and_stand_still_at_the_worst_moments_lose_nothing() {
+    schedule("kills.toml");
 }
