--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -368,7 +368,7 @@
                 self.take(id);
                 self.held.remove(&id);
             }
-            Event::ListFailed | Event::Probed { .. } | Event::Woken => {}
+            Event::ListFailed | Event::ListMoved | Event::Probed { .. } | Event::Woken => {}
         }
         // Whose time is up needs no slot to be ended.
         while let Some((_, id)) = self.ends.first().copied().filter(|(by, _)| *by <= now + LAST_CALL) {
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -6,8 +6,8 @@
 //! it is too much, is learned from the answers. No I/O, no clock; the caller brings time and randomness.
 
 use crate::fleet::MANY;
-use crate::state::{secs, to_secs};
-use crate::{Earlier, Time};
+use crate::state::{secs, to_secs, SEC};
+use crate::{Settings, Time};
 use std::time::Duration;
 
 /// What one ask costs the directory until an answer has shown more, in seconds: 55 ms seen.
@@ -28,6 +28,8 @@
 const GAPS: (f64, f64) = (0.5, 4.0);
 /// How many times longer a list counts as true after an ask that failed than after none, by the settings' page.
 const FAILED: Time = 4;
+/// What changes counts as told so long after a move of the directory, by the operators' page on new configurations.
+const MOVED: Time = 4 * SEC;
 /// How long the answer to an ask is waited for, in seconds: least, and most where many ask.
 const ANSWER: (f64, f64) = (3.0, 6.0);
 
@@ -61,7 +63,9 @@
 #[derive(Debug, Default)]
 pub struct Asking {
     relays: u32,
-    /// How many of them ask together; fewer than all at a planned restart, until an ask has shown that there are more.
+    /// How many of them a planned restart, or a move of the directory, takes at once.
+    staggered: u32,
+    /// How many ask together with this one, until an ask has shown that there are more.
     together: u32,
     /// Longest time without an ask or a watch (0: no bound), by the settings.
     within: Time,
@@ -75,26 +79,41 @@
     asked: Option<Time>,
     /// The list is told as it changes.
     watching: bool,
+    /// When the last word came over the watch; each is one that nothing else has changed until then.
+    word: Time,
     /// From when on what has changed counts as told, though nobody told it.
     told_at: Option<Time>,
 }
 
 impl Asking {
-    /// A sender that starts at `now` among `relays`, knowing what the process before it left; `within` is the
-    /// longest time without an ask, 0 for no bound. `draw` gives a number evenly from 0 to 1.
-    pub fn start(now: Time, relays: u32, earlier: Earlier, within: Time, draw: impl FnOnce() -> f64) -> Self {
-        let together = earlier.starting.unwrap_or(relays).min(relays);
+    /// A sender that starts at `now`. `draw` gives a number evenly from 0 to 1.
+    pub fn start(now: Time, settings: &Settings, draw: impl FnOnce() -> f64) -> Self {
+        let (relays, within, earlier) = (settings.relays, settings.ask_within, settings.earlier);
+        let staggered = match settings.staggered {
+            0 => relays,
+            some => some.min(relays),
+        };
+        let together = if earlier.planned { staggered } else { relays };
         let cost = earlier.cost.unwrap_or(COST);
-        let mut asking = Asking { relays, together, within, cost, ..Asking::default() };
+        let mut asking = Asking { relays, staggered, together, within, cost, ..Asking::default() };
         asking.next = Some(now + asking.spread(draw));
         asking.counts_from(now, 1);
         asking
     }
 
-    /// Seconds that the directory needs for more asks in a row than the settings leave time for; none where it can bear them.
-    pub fn too_many(&self) -> Option<f64> {
+    /// The directory is at another place from now on; whoever has a watch at the old one has lost it.
+    pub fn moved(&mut self, now: Time, draw: impl FnOnce() -> f64) {
+        (self.together, self.watching, self.asked, self.failures) = (self.staggered, false, None, 0);
+        self.next = Some(now + self.spread(draw));
+        self.told_at = (self.within > 0).then(|| now + self.within.min(MOVED));
+    }
+
+    /// A line for the log where the directory needs longer for all asks than the settings leave time for.
+    pub fn too_many(&self) -> Option<String> {
         let span = span(self.relays, self.cost);
-        (self.within > 0 && span > to_secs(self.within)).then_some(span)
+        let relays = self.relays;
+        (self.within > 0 && span > to_secs(self.within))
+            .then(|| format!("asks of {relays} senders take the directory {span:.1} s, more than mustAskIn"))
     }
 
     fn spread(&self, draw: impl FnOnce() -> f64) -> Time {
@@ -112,14 +131,18 @@
     pub fn due(&mut self, now: Time) -> bool {
         let due = self.next.take_if(|t| *t <= now).is_some();
         if due {
+            // Asking counts, but what is too old already is no truer before the answer.
+            if !self.blind(now) {
+                self.counts_from(now, 1);
+            }
             self.asked = Some(now);
-            self.counts_from(now, 1);
         }
         due
     }
 
-    /// The directory answered, or told of a change.
+    /// The directory answered, or said over the watch that there is a change, or none.
     pub fn heard(&mut self, now: Time) {
+        self.word = now;
         // A list that was there from the start answers no ask.
         if let Some(asked) = self.asked.take() {
             let took = to_secs(now - asked);
@@ -137,10 +160,10 @@
         let gap = secs((GAPS.0 * 2f64.powi(self.failures)).min(GAPS.1));
         self.failures = (self.failures + 1).min(8);
         let Some(asked) = asked else {
-            // All may have lost their watches at once.
+            // All may have lost their watches at once. A machine that stood still may hear of it much later than it was.
             self.watching = false;
             self.together = self.relays;
-            self.counts_from(now, 1);
+            self.counts_from(self.word, 1);
             self.next = Some(now + gap + self.spread(draw));
             return;
         };
@@ -167,19 +190,28 @@
     /// Whether the list has gone without a word for so long that whatever changed counts as told. What may be called is not
     /// known then, and nothing new is called.
     pub fn blind(&self, now: Time) -> bool {
-        !self.watching && self.told_at.is_some_and(|at| now >= at)
+        match self.watching {
+            // Whatever stood still, this machine or the directory: a watch is as good as its last word.
+            true => self.within > 0 && now >= self.word + self.within,
+            false => self.told_at.is_some_and(|at| now >= at),
+        }
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::state::{Random, SEC};
+    use crate::state::Random;
+    use crate::Earlier;
+
+    fn start(now: Time, relays: u32, ask_within: Time, draw: impl FnOnce() -> f64) -> Asking {
+        Asking::start(now, &Settings { relays, ask_within, ..Settings::default() }, draw)
+    }
 
     #[test]
     fn few_ask_at_once_and_wait_longer_with_each_failure() {
         let never = || unreachable!("few draw nothing");
-        let mut asking = Asking::start(SEC, 3, Earlier::default(), 10 * SEC, never);
+        let mut asking = start(SEC, 3, 10 * SEC, never);
         let mut now = SEC;
         for gap in [500, 1_000, 2_000, 4_000, 4_000] {
             assert!(asking.due(now) && !asking.due(now), "once each");
@@ -198,11 +230,8 @@
     fn asks_are_spread_over_the_time_that_all_need_less_what_may_stand_in_line() {
         for (relays, most) in [(10, 0.3), (100, 3.0), (300, 14.5), (3_000, 172.0)] {
             let mut random = Random::new(7);
-            let mut at: Vec<Time> = (0..relays)
-                .map(|_| {
-                    Asking::start(0, relays, Earlier::default(), 0, || random.draw()).next().expect("due")
-                })
-                .collect();
+            let mut at: Vec<Time> =
+                (0..relays).map(|_| start(0, relays, 0, || random.draw()).next().expect("due")).collect();
             at.sort();
             let last = to_secs(*at.last().expect("one"));
             assert!(last <= most && last > 0.7 * most, "{relays}: {last}");
@@ -222,7 +251,7 @@
             }
             to_secs(asking.next().expect("settled") - now)
         };
-        let mut asking = Asking::start(0, 300, Earlier::default(), 0, || 0.5);
+        let mut asking = start(0, 300, 0, || 0.5);
         assert!(
             (100.0..120.0).contains(&ask(&mut asking, 3.0, false)),
             "a line too long is let go and made far less dense"
@@ -236,11 +265,14 @@
 
     #[test]
     fn a_planned_restart_waits_for_its_own_share_and_a_line_shows_that_more_ask() {
-        let start = |starting| Asking::start(0, 300, Earlier { starting, cost: None }, 0, || 1.0);
-        let first = |starting| to_secs(start(starting).next().expect("due"));
-        assert!(first(Some(30)) < 1.0 && first(Some(5)) == 0.0);
-        assert_eq!(first(Some(900)), first(None));
-        let mut asking = start(Some(30));
+        let start = |staggered, planned| {
+            let earlier = Earlier { planned, cost: None };
+            Asking::start(0, &Settings { relays: 300, staggered, earlier, ..Settings::default() }, || 1.0)
+        };
+        let first = |staggered, planned| to_secs(start(staggered, planned).next().expect("due"));
+        assert!(first(30, true) < 1.0 && first(5, true) == 0.0);
+        assert!(first(900, true) == first(0, true) && first(0, true) == first(30, false));
+        let mut asking = start(30, true);
         let next = |asking: &mut Asking, failed_after: f64| {
             let now = asking.next().expect("due");
             assert!(asking.due(now));
@@ -252,18 +284,38 @@
         assert!((30.0..35.0).contains(&next(&mut asking, 3.0)));
         assert!(next(&mut asking, 3.0) > 80.0, "now they cost more");
         // A lost watch may be everyone's.
-        let mut asking = start(Some(30));
+        let mut asking = start(30, true);
         assert!(asking.due(SEC));
         asking.heard(SEC + secs(COST));
         asking.failed(2 * SEC, || 1.0);
         assert!(to_secs(asking.next().expect("due")) > 10.0);
     }
 
+    #[test]
+    fn a_move_is_asked_about_in_its_share_and_blinds_those_whose_turn_is_later_than_it_counts_as_told() {
+        let moved = |relays, staggered, part| {
+            let settings = Settings { relays, staggered, ask_within: 10 * SEC, ..Settings::default() };
+            let mut asking = Asking::start(0, &settings, || 0.0);
+            assert!(asking.due(0));
+            asking.heard(secs(COST));
+            asking.moved(SEC, || part);
+            asking
+        };
+        assert_eq!(moved(3, 0, 1.0).next(), Some(SEC), "few ask at once");
+        assert!(moved(300, 30, 1.0).next().is_some_and(|t| t < 2 * SEC));
+        let mut last = moved(300, 0, 1.0);
+        assert!(!last.blind(5 * SEC - 1) && last.blind(5 * SEC));
+        let next = last.next().expect("settled");
+        assert!((14.0..17.0).contains(&to_secs(next)) && last.due(next));
+        assert!(last.blind(next), "until it is answered");
+        last.failed(next + 3 * SEC, || 1.0);
+        assert!(!last.blind(next + 39 * SEC) && last.blind(next + 40 * SEC));
+    }
+
     #[test]
     fn a_directory_that_is_not_there_is_asked_in_the_same_row_again_and_again() {
         let mut random = Random::new(7);
-        let mut all: Vec<Asking> =
-            (0..300).map(|_| Asking::start(0, 300, Earlier::default(), 0, || random.draw())).collect();
+        let mut all: Vec<Asking> = (0..300).map(|_| start(0, 300, 0, || random.draw())).collect();
         let mut asks = vec![0; 60];
         for ms in (0..60_000).step_by(10) {
             let now = ms * crate::state::MS;
@@ -279,25 +331,51 @@
 
     #[test]
     fn a_list_counts_as_told_after_the_time_that_the_settings_say_and_four_times_it_after_a_failure() {
-        let mut asking = Asking::start(0, 300, Earlier::default(), 10 * SEC, || 0.9);
+        let mut asking = start(0, 300, 10 * SEC, || 0.9);
         assert!(!asking.blind(10 * SEC - 1) && asking.blind(10 * SEC));
-        assert!(asking.due(14 * SEC) && !asking.blind(15 * SEC), "asking counts");
+        assert!(asking.due(14 * SEC) && asking.blind(15 * SEC), "too late");
         asking.failed(17 * SEC, || 0.0);
         assert!(!asking.blind(54 * SEC - 1) && asking.blind(54 * SEC));
         let next = asking.next().expect("settled");
         assert!(asking.due(next));
         asking.heard(next + SEC);
-        assert!(!asking.blind(next + 900 * SEC), "a watch tells");
-        asking.failed(next + 900 * SEC, || 1.0);
-        assert!(!asking.blind(next + 909 * SEC) && asking.blind(next + 910 * SEC));
-        assert!(!Asking::start(0, 300, Earlier::default(), 0, || 1.0).blind(900 * SEC), "no bound is set");
+        for s in (1..900).step_by(2) {
+            assert!(!asking.blind(next + s * SEC), "a watch tells, also that there is nothing");
+            asking.heard(next + s * SEC);
+        }
+        asking.failed(next + 902 * SEC, || 1.0);
+        assert!(
+            !asking.blind(next + 909 * SEC - 1) && asking.blind(next + 909 * SEC),
+            "from its last word on"
+        );
+    }
+
+    #[test]
+    fn a_machine_that_stood_still_knows_nothing_until_it_hears_something() {
+        let mut asking = start(0, 3, 10 * SEC, || 0.0);
+        assert!(asking.due(0));
+        asking.heard(SEC);
+        assert!(!asking.blind(11 * SEC - 1) && asking.blind(20 * SEC), "the watch looks whole");
+        asking.heard(20 * SEC);
+        assert!(!asking.blind(20 * SEC), "it was");
+        asking.failed(40 * SEC, || 0.0);
+        assert!(asking.blind(40 * SEC), "it ended meanwhile");
+        let next = asking.next().expect("settled");
+        assert!(asking.due(next) && asking.blind(next));
+        asking.heard(next + 1);
+        assert!(!asking.blind(next + 1));
+        let mut early = start(0, 300, 10 * SEC, || 0.5);
+        assert!(early.due(9 * SEC) && !early.blind(18 * SEC), "asking in time counts");
+        assert!(!start(0, 300, 0, || 1.0).blind(900 * SEC), "no bound is set");
     }
 
     #[test]
     fn a_fleet_that_the_directory_cannot_bear_in_time_is_told_of() {
-        let start = |relays| Asking::start(0, relays, Earlier::default(), 10 * SEC, || 0.0);
-        assert_eq!(start(200).too_many(), None);
-        assert!(start(300).too_many().is_some_and(|s| (14.0..15.0).contains(&s)));
+        let of = |relays| start(0, relays, 10 * SEC, || 0.0);
+        assert_eq!(of(200).too_many(), None);
+        assert!(of(300)
+            .too_many()
+            .is_some_and(|told| told.contains("300 senders take the directory 14.6 s")));
         assert_eq!((patience(3), patience(100), patience(3_000)), (3.0, 5.5, 6.0));
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -222,8 +222,8 @@
     pub listen: SocketAddr,
     /// The directory, which also takes notices.
     pub discovery: SocketAddr,
-    /// Share of all senders that a planned restart ends and starts at once, above 0, at most 1. Less than 1 lets a sender that
-    /// ended as told ask for its list sooner when it is back.
+    /// Share of all senders that a planned restart ends and starts at once, or that hears at once of a move of the directory; above
+    /// 0, at most 1. Less than 1 lets a sender ask for its list sooner then.
     #[serde(default = "all")]
     pub restarts_together: f64,
 }
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Whether nothing may be called, as the list is too old.
+    pub fn is_blind(&self) -> bool {
+        self.inner.borrow().relay.is_blind(self.now())
+    }
+
     /// Messages held.
     pub fn held(&self) -> usize {
         self.inner.borrow().tickets.len()
@@ -120,7 +125,7 @@
         }
     }
 
-    /// The directory answered an ask, whatever it has to tell.
+    /// The directory answered an ask, or said over the watch that nothing has changed.
     pub fn list_heard(&self) {
         self.turn(Event::ListChanges(Vec::new()));
     }
@@ -130,6 +135,11 @@
         self.turn(Event::ListFailed);
     }
 
+    /// The list is to be asked for at another place.
+    pub fn list_moved(&self) {
+        self.turn(Event::ListMoved);
+    }
+
     /// Brings a message before the module. Its orders come to the ticket, the first ones at once.
     pub fn enter(self: &Rc<Self>, message: Message, past: Option<Past>) -> Ticket {
         let (sender, orders) = async_channel::unbounded();
--- a/src/core/earlier.rs
+++ b/src/core/earlier.rs
@@ -30,9 +30,9 @@
     fs::write(folder.join(ASKED), format!("{now_ms} {}\n", took.as_micros()))
 }
 
-/// What is known of the process before this one, where a planned restart takes `together` of `relays` senders at once. The note of an
-/// end counts once: a start that ends short leaves none. With it a line for the log for each note that does not count.
-pub fn look(folder: &Path, now_ms: u64, relays: u32, together: f64) -> (Earlier, Vec<String>) {
+/// What is known of the process before this one. The note of an end counts once: a start that ends short leaves none. With it a line for
+/// the log for each note that does not count.
+pub fn look(folder: &Path, now_ms: u64) -> (Earlier, Vec<String>) {
     let mut faults = Vec::new();
     let mut note = |name: &str, most_ms| {
         read(folder, name, now_ms, most_ms).unwrap_or_else(|e| {
@@ -41,15 +41,14 @@
         })
     };
     let (ended, asked) = (note(ENDED, RESTART_MS), note(ASKED, ASKED_MS));
-    let starting = ended.filter(|_| together < 1.0).map(|_| (f64::from(relays) * together).ceil() as u32);
     let cost = asked.map(|us| asking::kept_cost(Duration::from_micros(us)));
     match fs::remove_file(folder.join(ENDED)) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => {
             // It would count again and again.
             faults.push(format!("{ENDED}: {e}"));
-            (Earlier { starting: None, cost }, faults)
+            (Earlier { planned: false, cost }, faults)
         }
-        _ => (Earlier { starting, cost }, faults),
+        _ => (Earlier { planned: ended.is_some(), cost }, faults),
     }
 }
 
@@ -79,16 +78,14 @@
     #[test]
     fn an_end_counts_once_and_only_soon_after() {
         let folder = tempfile::tempdir().expect("a folder");
-        let look = |now| look(folder.path(), now, 300, 0.1);
-        let (planned, nothing) = (Earlier { starting: Some(30), cost: None }, Earlier::default());
+        let look = |now| look(folder.path(), now);
+        let (planned, nothing) = (Earlier { planned: true, cost: None }, Earlier::default());
         assert_eq!(look(5), (nothing, vec![]));
         for (now, found) in [(1_700, planned), (61_000, planned), (61_001, nothing)] {
             ends(folder.path(), 1_000).expect("written");
             assert_eq!((look(now).0, look(now)), (found, (nothing, vec![])));
         }
         ends(folder.path(), 1_000).expect("written");
-        assert_eq!(super::look(folder.path(), 1_001, 300, 1.0).0, nothing, "restarts are not staggered");
-        ends(folder.path(), 1_000).expect("written");
         assert_eq!(look(999), (nothing, vec!["ended: from the future".to_string()]));
     }
 
@@ -98,7 +95,7 @@
         for torn in ["", "17", "17 \n", "17\n\n", "-1\n", "soon\n", "17 18 19\n"] {
             fs::write(folder.path().join(ENDED), torn).expect("written");
             fs::write(folder.path().join(ASKED), torn).expect("written");
-            let (found, told) = look(folder.path(), 18, 300, 0.1);
+            let (found, told) = look(folder.path(), 18);
             assert_eq!(
                 (found, told),
                 (Earlier::default(), vec!["ended: torn".into(), "asked: torn".into()]),
@@ -107,7 +104,7 @@
         }
         fs::create_dir(folder.path().join(ENDED)).expect("a folder");
         assert!(ends(folder.path(), 1).is_err());
-        assert_eq!(look(folder.path(), 18, 300, 0.1).0.starting, None);
+        assert!(!look(folder.path(), 18).0.planned);
     }
 
     #[test]
@@ -115,7 +112,7 @@
         let folder = tempfile::tempdir().expect("a folder");
         let cost = |took, now| {
             asked(folder.path(), 1_000, Duration::from_millis(took)).expect("written");
-            look(folder.path(), now, 300, 0.1).0.cost
+            look(folder.path(), now).0.cost
         };
         assert_eq!(cost(36, 1_000), Some(0.036));
         assert_eq!((cost(36, 3_601_000), cost(36, 3_601_001)), (Some(0.036), None));
--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -281,6 +281,7 @@
     let allowed = || {
         house.directory.admits(endpoint, Instant::now())
             && Instant::now() < deadline
+            && !house.desk.is_blind()
             && house.may_repeat(envelope, record.ran(), provider.zone)
     };
     // Where it has to be synced, it is written before the connection is asked for: afterwards is too late to wait.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,8 +116,8 @@
 /// What is known from the process before this one.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Earlier {
-    /// Senders that start together with this one, where it is known that not all do.
-    pub starting: Option<u32>,
+    /// It ended as told, a short time ago: this start is part of a planned restart.
+    pub planned: bool,
     /// What an ask cost the directory, in seconds.
     pub cost: Option<f64>,
 }
@@ -133,6 +133,8 @@
     pub kinds: Vec<Kind>,
     /// Relays that send to the same destinations, this one included.
     pub relays: u32,
+    /// Those that a planned restart, or a move of the directory, takes at once (0: all).
+    pub staggered: u32,
     /// What the process before this one knew.
     pub earlier: Earlier,
     /// Calls that may be out at once.
@@ -285,6 +287,8 @@
     ListChanges(Vec<Listing>),
     /// Asking for the list failed, or the subscription broke.
     ListFailed,
+    /// The list is to be asked for at another place from now on.
+    ListMoved,
     /// A message was handed in.
     Arrived(Message),
     /// A message that an earlier life of this relay took on and still owes its end.
--- a/src/main.rs
+++ b/src/main.rs
@@ -194,9 +194,7 @@
 
 /// What the process before this one left.
 fn known_from_before(config: &Config) -> Earlier {
-    let (relays, together) =
-        (config.deployment.settings.relays, config.platform.as_ref().map(|p| p.restarts_together));
-    let (found, faults) = earlier::look(&config.state, unix_ms(), relays, together.unwrap_or(1.0));
+    let (found, faults) = earlier::look(&config.state, unix_ms());
     faults.iter().for_each(|fault| log::warn!("state: a note does not count: {fault}"));
     log::debug!("state: {found:?}");
     found
@@ -222,6 +220,8 @@
     let directory = Rc::new(Directory::new(&deployment.zones, &deployment.kinds, &settings.kinds));
     let (journal, unfinished) = Journal::open(&config.state, Setup { seed: salt(), ..config.store })
         .map_err(|e| format!("state: {}: {e}", config.state.display()))?;
+    let share = config.platform.as_ref().map_or(1.0, |p| p.restarts_together);
+    settings.staggered = (f64::from(settings.relays) * share).ceil() as u32;
     settings.earlier = known_from_before(&config);
     let (tended, synced, ended) = (journal.clone(), journal.clone(), journal.clone());
     let budget = budget(&config);
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -37,26 +37,31 @@
 }
 
 impl Watch {
-    /// Watches whenever asked to, until each watch ends; and at once when the directory has moved.
+    /// Watches whenever asked to, until each watch ends or the directory moves.
     pub async fn run(&self, asked: Receiver<()>) {
         loop {
             if self.discovery.while_there(asked.recv()).await.is_none() {
-                self.directory.moved();
+                self.move_on();
+                continue;
             }
-            loop {
-                // This watch is what was asked for, however often.
-                while asked.try_recv().is_ok() {}
-                match self.discovery.while_there(self.follow()).await {
-                    Some(ended) => {
-                        log::warn!("watch: {}", ended.map_or_else(|e| e.to_string(), |()| "ended".into()));
-                        break self.desk.list_failed();
-                    }
-                    None => self.directory.moved(),
+            // This watch is what was asked for, however often.
+            while asked.try_recv().is_ok() {}
+            match self.discovery.while_there(self.follow()).await {
+                Some(ended) => {
+                    log::warn!("watch: {}", ended.map_or_else(|e| e.to_string(), |()| "ended".into()));
+                    self.desk.list_failed();
                 }
+                None => self.move_on(),
             }
         }
     }
 
+    /// The directory has moved: the module says when it is asked there.
+    fn move_on(&self) {
+        self.directory.moved();
+        self.desk.list_moved();
+    }
+
     async fn follow(&self) -> io::Result<()> {
         let began = Instant::now();
         let opened = self.wheel.limit(self.patience, self.open()).await;
@@ -76,7 +81,9 @@
                 }
             };
             while let Some(line) = http::take_line(&mut text) {
-                if !line.trim_ascii().is_empty() {
+                if line.trim_ascii().is_empty() {
+                    self.desk.list_heard();
+                } else {
                     let news =
                         list::read(&line).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
                     self.desk.list(&news);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -225,13 +225,9 @@
         let now = self.now;
         if self.start == 0 {
             (self.start, self.traffic) = (now, Traffic::new(now));
-            let (relays, earlier, within) = (self.s.relays, self.s.earlier, self.s.ask_within);
-            self.asking =
-                self.s.ask_list.then(|| Asking::start(now, relays, earlier, within, || self.random.draw()));
-            if let Some(span) = self.asking.as_ref().and_then(Asking::too_many) {
-                self.log(format!(
-                    "asks of {relays} senders take the directory {span:.1} s, more than mustAskIn"
-                ));
+            self.asking = self.s.ask_list.then(|| Asking::start(now, &self.s, || self.random.draw()));
+            if let Some(told) = self.asking.as_ref().and_then(Asking::too_many) {
+                self.log(told);
             }
             self.tenant_rate.iter_mut().for_each(|t| *t = Meter::new(now, RATE.0));
         }
@@ -242,6 +238,9 @@
                 Event::ListFailed => {
                     self.asking.iter_mut().for_each(|a| a.failed(now, || self.random.draw()));
                 }
+                Event::ListMoved => {
+                    self.asking.iter_mut().for_each(|a| a.moved(now, || self.random.draw()));
+                }
                 Event::Arrived(m) => self.arrived(now, *m, Held::default()),
                 Event::Resumed { message, past } => self.arrived(now, *message, Held::resumed(now, past)),
                 Event::Ended { id, attempt, outcome, took, finished, report } => {
@@ -263,6 +262,11 @@
         out.append(&mut self.out);
     }
 
+    /// Whether nothing may be called, as whatever has changed counts as told ([`Asking::blind`]).
+    pub fn is_blind(&self, now: Time) -> bool {
+        self.asking.as_ref().is_some_and(|a| a.blind(now))
+    }
+
     /// Entries of the tables that grow with use.
     pub fn sizes(&self) -> [(&'static str, usize); 5] {
         let gates = self.dests.values().map(|d| d.gates.len()).sum();
@@ -892,7 +896,7 @@
 
     fn pump(&mut self, now: Time) {
         let mut lines: BTreeMap<DestId, VecDeque<_>> = BTreeMap::new();
-        let blind = self.asking.as_ref().is_some_and(|a| a.blind(now));
+        let blind = self.is_blind(now);
         for dest in self.waiting.clone() {
             if self.dests[&dest].look_at > now {
                 continue;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -303,9 +303,13 @@
     let mut d = common::Driver::new(asks.clone(), Vec::new());
     d.relay = Relay::new(asks.clone(), seed.expect("one of them")).expect("usable settings");
     d.give(Event::CachedList(vec![line]));
-    let (mut called, mut asked) = (Vec::new(), None);
+    let (mut called, mut asked, mut watching) = (Vec::new(), None, false);
     for second in 0..45 {
         let mut seen = d.arrive(second, 0, 1);
+        // A watch says every 2 s that there is nothing.
+        if watching && second % 2 == 0 {
+            seen.extend(d.give(Event::ListChanges(Vec::new())));
+        }
         for _ in 0..10 {
             seen.extend(d.pass(100 * MS));
             asked = if seen.contains(&Action::WatchList) { Some(d.now) } else { asked };
@@ -315,7 +319,7 @@
             }
             if asked.is_some() && Time::from(second) * SEC >= silent {
                 seen.extend(d.give(Event::ListChanges(Vec::new())));
-                asked = None;
+                (asked, watching) = (None, true);
             }
             seen.retain(|a| *a != Action::WatchList);
         }
@@ -327,7 +331,7 @@
 }
 
 #[test]
-fn one_that_has_not_asked_for_so_long_that_drains_count_as_told_calls_nobody_until_it_asks() {
+fn one_that_has_not_asked_for_so_long_that_drains_count_as_told_calls_nobody_until_it_is_told() {
     // Its turn to ask comes after the 10 s that the settings leave: what the list says is not to be trusted in between.
     for silent in [5, 10, 30] {
         let called = calls_of_one(true, silent * SEC);
