Draw schedules of faults from a seed, and judge drains on a machine that is late

New checks by what stand-ins saw: a sender that has not asked for mustAskIn calls nothing that drained before. Each call that breaks a rule is told with sender, endpoint and time.

A process that starts knows the list that it is given and not what its last process was told.

--- a/rig/src/directory.rs
+++ b/rig/src/directory.rs
@@ -90,7 +90,12 @@
         let rev = state.rev;
         state.changed.insert(uid.to_string(), rev);
         state.targets.iter_mut().filter(|t| t["uid"] == uid).for_each(|t| t["state"] = condition.into());
+        let quiet = state.quiet;
         drop(state);
+        // What is told to nobody counts for nobody.
+        if !quiet {
+            self.shared.record.wants(uid, condition == "active");
+        }
         self.shared.news.notify_all();
     }
 
@@ -159,6 +164,7 @@
     let port = request.header("host").and_then(|h| h.rsplit(':').next()?.parse::<u16>().ok());
     {
         let mut state = shared.state();
+        shared.record.asks(port.and_then(|p| state.names.get(&p)).map_or("", String::as_str));
         if state.down {
             return stream.shutdown(Shutdown::Both);
         }
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -4,7 +4,7 @@
 use crate::directory::Directory;
 use crate::partner;
 use crate::record::{Life, Record, Verdict};
-use crate::relay::{Fault, Relay};
+use crate::relay::{Break, Breaks, Fault, Relay};
 use crate::sender::{Log, Sender};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
@@ -13,6 +13,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// From then on all are left alone where what happens is drawn, in seconds.
+const CALM_FROM: f64 = 16.0;
+/// Breaches that are told one by one.
+const TOLD: usize = 20;
 /// Between two looks at what is due.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -138,6 +142,8 @@
     GoOn,
     /// They are told to read their configuration again.
     HangUp,
+    /// The same; it names another address of the directory, and the old one is shut.
+    Move,
     /// The folders of those that do not run are lost.
     LoseFolder,
     /// Their lines to the directory have this fault and no other; an empty one heals them.
@@ -215,6 +221,95 @@
         }
     }
 
+    /// Some of everything that can happen, drawn: processes that die, end, stand still and come back, lines that fail, a directory
+    /// that is down, busy, slow or moves, endpoints that drain and return. At the end all are back and all lines whole.
+    pub fn drawn(senders: usize, seed: u64) -> Scenario {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut steps = Vec::new();
+        let mut step = |at_s: f64, who: Who, deed| steps.push(Step { at_s, after: None, who, deed });
+        let everyone = || Who::Share(1.0);
+        step(0.0, everyone(), Deed::Start);
+        // Until when each process is in trouble.
+        let mut busy = vec![0.5; senders];
+        for _ in 0..random.usize(10..25) {
+            let (at, most) = (0.5 + 13.0 * random.f64(), 0.2 + 4.0 * random.f64());
+            let till = (at + most).min(CALM_FROM);
+            let some = |random: &mut fastrand::Rng, of: &[usize]| {
+                let count = 1 + random.usize(..senders.div_ceil(2));
+                let mut some = of.to_vec();
+                random.shuffle(&mut some);
+                some.truncate(count);
+                some
+            };
+            let names = |of: &[usize]| Who::Names(of.iter().map(|n| format!("n{n}")).collect());
+            let uid = format!("s{}", random.usize(..endpoints()));
+            match random.usize(..12) {
+                kind @ 0..=4 => {
+                    let free: Vec<usize> = (0..senders).filter(|n| busy[*n] < at).collect();
+                    let who = some(&mut random, &free);
+                    // An end takes up to 3.4 s, and is waited for.
+                    let till = if kind < 2 { till } else { till.max(at + 0.6) };
+                    who.iter().for_each(|n| busy[*n] = till + 0.5);
+                    let (away, back) = match kind {
+                        0 | 1 => (Deed::Stop, Deed::GoOn),
+                        2 | 3 => (Deed::Kill, Deed::Start),
+                        _ => (Deed::TellToEnd, Deed::Start),
+                    };
+                    step(at, names(&who), away);
+                    step(till, names(&who), back);
+                }
+                5..=7 => {
+                    let all: Vec<usize> = (0..senders).collect();
+                    let who = some(&mut random, &all);
+                    let how = if random.bool() { Break::Reset } else { Break::Close };
+                    let fault = match random.usize(..5) {
+                        0 => Fault { cut: true, ..Fault::default() },
+                        1 => Fault { silent_down: true, ..Fault::default() },
+                        2 => Fault { silent_up: true, ..Fault::default() },
+                        3 => Fault { delay_ms: random.u64(20..800), ..Fault::default() },
+                        _ => Fault {
+                            breaks: Some(Breaks { after: random.usize(1..5_000), how }),
+                            ..Fault::default()
+                        },
+                    };
+                    step(at, names(&who), Deed::Line(fault));
+                    step(till, names(&who), Deed::Line(Fault::default()));
+                }
+                8 => {
+                    step(at, everyone(), Deed::DirectoryDown);
+                    step(till, everyone(), Deed::DirectoryBack);
+                }
+                9 => {
+                    step(at, everyone(), Deed::Busy(true));
+                    step(till, everyone(), Deed::Busy(false));
+                }
+                10 => step(at, everyone(), if random.bool() { Deed::Move } else { Deed::HangUp }),
+                _ => {
+                    step(
+                        at,
+                        everyone(),
+                        if random.bool() { Deed::Drain(uid.clone()) } else { Deed::Leave(uid.clone()) },
+                    );
+                    step(till, everyone(), Deed::Return(uid));
+                }
+            }
+        }
+        step(CALM_FROM, everyone(), Deed::Line(Fault::default()));
+        Scenario {
+            senders,
+            balancers: None,
+            endpoints: endpoints(),
+            ask_ms: if random.bool() { ask_ms() } else { random.u64(5..300) },
+            call_ms: random.u64(5..200),
+            rate: 4.0 * senders as f64,
+            lasts_s: CALM_FROM + 3.0,
+            kept: *random.choice([Kept::True, Kept::ThirdGone, Kept::Gone].iter()).unwrap_or(&Kept::True),
+            together: if random.bool() { all() } else { 0.1 },
+            wanted: Wanted { delivered: 0.5, ..Wanted::default() },
+            steps,
+        }
+    }
+
     /// The first value that is well formed and cannot be used.
     fn fault(&self) -> Option<(String, String)> {
         let is_sender = |name: &str| (0..self.senders).any(|n| name == format!("n{n}"));
@@ -297,6 +392,8 @@
     pub verdict: Verdict,
     /// What was wanted and did not come out.
     pub missed: Vec<String>,
+    /// Calls after a drain, the first ones.
+    pub breaches: Vec<String>,
 }
 
 impl Outcome {
@@ -337,6 +434,7 @@
             Deed::Start => {
                 for &n in which {
                     self.ended(n);
+                    self.record.starts(&self.senders[n].name);
                     self.senders[n].spawn()?;
                     self.run[n] = true;
                 }
@@ -360,6 +458,16 @@
                     self.hears(n, *deed != Deed::Stop);
                 }
             }
+            Deed::Move => {
+                for &n in which {
+                    let line = Relay::start(self.directory.address)?;
+                    self.directory.names(line.address.port(), &self.senders[n].name);
+                    self.senders[n].move_directory(line.address)?;
+                    std::mem::replace(&mut self.lines[n], line).set(Fault { cut: true, ..Fault::default() });
+                }
+                // It is told to all as nearly at once as can be.
+                which.iter().for_each(|&n| self.senders[n].hang_up());
+            }
             Deed::HangUp => which.iter().for_each(|&n| self.senders[n].hang_up()),
             Deed::LoseFolder => {
                 for &n in which {
@@ -370,6 +478,7 @@
             Deed::Line(fault) => {
                 for &n in which {
                     self.hears(n, *fault == Fault::default());
+                    self.record.line_broken(&self.senders[n].name);
                     self.lines[n].set(*fault);
                 }
             }
@@ -445,6 +554,7 @@
         crashed,
         verdict,
         missed: Vec::new(),
+        breaches: seen.breaches().iter().take(TOLD).map(|b| b.to_string()).collect(),
     };
     let wanted = &scenario.wanted;
     let missed = [
@@ -498,7 +608,11 @@
             }
         }
         clients.retain(|c| !c.is_finished());
+        let asleep = Instant::now();
         thread::sleep(LOOK);
+        let late = asleep.elapsed() - LOOK;
+        let mut seen = play.record.seen();
+        seen.lateness = seen.lateness.max(late);
     }
     clients.into_iter().for_each(|c| drop(c.join()));
     Ok((play.scenario.steps.len() - open.len(), handed))
--- a/rig/src/sender.rs
+++ b/rig/src/sender.rs
@@ -40,6 +40,7 @@
     together: f64,
     child: Option<Child>,
     log: Arc<Log>,
+    config: Value,
 }
 
 impl Sender {
@@ -53,15 +54,17 @@
         let folder = TempDir::new().map_err(failed)?;
         std::fs::create_dir(folder.path().join("state")).map_err(failed)?;
         config["name"] = name.clone().into();
-        std::fs::write(folder.path().join("config.json"), config.to_string()).map_err(failed)?;
-        Ok(Sender {
+        let sender = Sender {
             name,
             program: program.to_path_buf(),
             folder,
             together,
             child: None,
             log: Arc::default(),
-        })
+            config,
+        };
+        sender.configure().map_err(failed)?;
+        Ok(sender)
     }
 
     /// Starts its process, and waits for nothing. One that runs already is killed.
@@ -144,6 +147,19 @@
         false
     }
 
+    fn configure(&self) -> io::Result<()> {
+        std::fs::write(self.folder.path().join("config.json"), self.config.to_string())
+    }
+
+    /// Writes into its configuration that the directory is at another address. It reads that when it is told to.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn move_directory(&mut self, to: SocketAddr) -> io::Result<()> {
+        self.config["discovery"] = to.to_string().into();
+        self.configure()
+    }
+
     /// Tells it to read its configuration again.
     pub fn hang_up(&self) {
         self.signal(Signal::HUP);
