Cut the power of a fleet with a thousand messages held, and judge answers to the dead

Its first run said "doubled: 24": the endpoint's answer to a process that was dead could still be written and counted as a delivery (rig/partner.rs); by the protocol one is delivered once it is written to the sender. It is looked at now whether the caller is there.

--- a/rig/src/partner.rs
+++ b/rig/src/partner.rs
@@ -1,6 +1,6 @@
 //! Endpoints of partners: each takes calls over kept connections and answers after a while.
 
-use crate::record::Record;
+use crate::record::{is_open, Record};
 use crate::Http;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -40,8 +40,10 @@
         let id = call.header("x-txn").unwrap_or_default().to_string();
         record.called(&id, uid, Some(over));
         thread::sleep(takes);
+        // An answer to one who has hung up delivers nothing, though it can be written.
+        let heard = is_open(over);
         let answered = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        record.ended(&id, Some(over), answered.is_ok());
+        record.ended(&id, Some(over), heard && answered.is_ok());
         answered?;
     }
     Ok(())
--- a/rig/src/record.rs
+++ b/rig/src/record.rs
@@ -79,7 +79,7 @@
 }
 
 /// Whether the other side of a connection has not hung up.
-fn is_open(connection: &TcpStream) -> bool {
+pub(crate) fn is_open(connection: &TcpStream) -> bool {
     let seen = recv(connection, &mut [0; 1], RecvFlags::PEEK | RecvFlags::DONTWAIT);
     matches!(seen, Ok((1.., _)) | Err(Errno::AGAIN))
 }
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -76,6 +76,8 @@
     pub delivered: f64,
     /// Most asks for the list.
     pub asks: Option<u32>,
+    /// Least messages that are held when some step comes.
+    pub held: usize,
     /// Least answers that lines broke off: that the fault came about.
     pub broken_off: u32,
 }
@@ -369,6 +371,8 @@
     pub steps: usize,
     /// Messages that were handed in.
     pub handed: usize,
+    /// Most that were taken on and had no end when a step came.
+    pub held: usize,
     /// Those that were taken on.
     pub taken_on: usize,
     /// Those of them that were delivered.
@@ -415,6 +419,7 @@
     /// Those that were told to end.
     ending: Vec<bool>,
     crashed: usize,
+    held: usize,
 }
 
 impl Play<'_> {
@@ -527,8 +532,17 @@
         lines.push(line);
     }
     let (run, ending) = (vec![false; senders.len()], vec![false; senders.len()]);
-    let mut play =
-        Play { scenario, record: record.clone(), directory, senders, lines, run, ending, crashed: 0 };
+    let mut play = Play {
+        scenario,
+        record: record.clone(),
+        directory,
+        senders,
+        lines,
+        run,
+        ending,
+        crashed: 0,
+        held: 0,
+    };
     let (steps, handed) = run_through(&mut play, seed)?;
     record.settle(LEFT + Duration::from_secs(2));
     (0..scenario.senders).for_each(|n| play.ended(n));
@@ -536,6 +550,7 @@
         play.senders.iter_mut().zip(&play.run).filter_map(|(s, run)| (*run && !s.lives()).then_some(()));
     let crashed = play.crashed + dead.count();
     let broken_off = play.lines.iter().map(Relay::broken).sum();
+    let held = play.held;
     drop(play);
     let verdict = record.verdict();
     let seen = record.seen();
@@ -543,6 +558,7 @@
     let mut outcome = Outcome {
         steps,
         handed,
+        held,
         taken_on: count(|l| l.taken_on),
         delivered: count(|l| l.taken_on && l.delivered > 0),
         asks: seen.asks,
@@ -561,6 +577,7 @@
         ("steps", steps < scenario.steps.len()),
         ("delivered", (outcome.delivered as f64) < wanted.delivered * outcome.taken_on as f64),
         ("asks", wanted.asks.is_some_and(|most| outcome.asks > most)),
+        ("held", held < wanted.held),
         ("broken_off", broken_off < wanted.broken_off),
         ("taken_on", outcome.taken_on == 0),
     ];
@@ -593,6 +610,7 @@
         }
         due.sort();
         for (_, n) in &due {
+            play.held = play.held.max(play.record.open());
             let step = &play.scenario.steps[*n];
             play.does(&step.deed, &play.scenario.those(&step.who))?;
         }
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -30,6 +30,8 @@
 const FAILED: Time = 4;
 /// What changes counts as told so long after a move of the directory, by the operators' page on new configurations.
 const MOVED: Time = 4 * SEC;
+/// A watch says something every 2 s, and one that is silent for 3.5 s is given up: within this time it tells, whatever the settings say.
+const WATCHED: Time = 4 * SEC;
 /// How long the answer to an ask is waited for, in seconds: least, and most where many ask.
 const ANSWER: (f64, f64) = (3.0, 6.0);
 
@@ -192,7 +194,7 @@
     pub fn blind(&self, now: Time) -> bool {
         match self.watching {
             // Whatever stood still, this machine or the directory: a watch is as good as its last word.
-            true => self.within > 0 && now >= self.word + self.within,
+            true => self.within > 0 && now >= self.word + self.within.max(WATCHED),
             false => self.told_at.is_some_and(|at| now >= at),
         }
     }
@@ -358,6 +360,10 @@
         assert!(!asking.blind(11 * SEC - 1) && asking.blind(20 * SEC), "the watch looks whole");
         asking.heard(20 * SEC);
         assert!(!asking.blind(20 * SEC), "it was");
+        let mut quick = start(0, 3, SEC, || 0.0);
+        assert!(quick.due(0));
+        quick.heard(SEC);
+        assert!(!quick.blind(4 * SEC) && quick.blind(5 * SEC), "a watch is not to say more than it does");
         asking.failed(40 * SEC, || 0.0);
         assert!(asking.blind(40 * SEC), "it ended meanwhile");
         let next = asking.next().expect("settled");
--- a/tests/many/main.rs
+++ b/tests/many/main.rs
@@ -95,3 +95,8 @@
 fn machines_that_stood_still_call_nobody_that_drained_meanwhile() {
     schedule("stop.toml");
 }
+
+#[test]
+fn a_power_cut_with_a_thousand_messages_held_loses_none_of_them() {
+    schedule("held.toml");
+}
