--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -396,7 +396,7 @@
     pub verdict: Verdict,
     /// What was wanted and did not come out.
     pub missed: Vec<String>,
-    /// Calls after a drain, the first ones.
+    /// Calls after a drain and calls of what was out, the first ones.
     pub breaches: Vec<String>,
 }
 
@@ -570,7 +570,13 @@
         crashed,
         verdict,
         missed: Vec::new(),
-        breaches: seen.breaches().iter().take(TOLD).map(|b| b.to_string()).collect(),
+        breaches: seen
+            .breaches()
+            .into_iter()
+            .chain(seen.twice.iter().map(String::as_str))
+            .take(TOLD)
+            .map(str::to_string)
+            .collect(),
     };
     let wanted = &scenario.wanted;
     let missed = [
--- a/rig/src/sender.rs
+++ b/rig/src/sender.rs
@@ -148,7 +148,10 @@
     }
 
     fn configure(&self) -> io::Result<()> {
-        std::fs::write(self.folder.path().join("config.json"), self.config.to_string())
+        // Whole or not at all: a process may read it at any moment.
+        let (file, new) = (self.folder.path().join("config.json"), self.folder.path().join("config.new"));
+        std::fs::write(&new, self.config.to_string())?;
+        std::fs::rename(new, file)
     }
 
     /// Writes into its configuration that the directory is at another address. It reads that when it is told to.
