Set the stage of all plays in one place, and read notes and drains more plainly

cold_start and scenario both started endpoints, directory, kept lists and senders, line for line: rig/src/stage.rs now. Both counted what was taken on and delivered: Record::ends. How processes end was an enum in the rig and one in the lab with a map between them: one. The check on drains built a text and compared it to know which rule was broken; it now keeps the moment from which the drain counts, so the text tells the time since then. The directory looked a sender's name up twice, and a round took its lock twice. earlier.rs told its notes apart by name where a count of numbers does; the module's line for blind senders had a nested choice.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,7 +13,7 @@
 use raildeal_lab::policies::Policy;
 use raildeal_lab::report;
 use raildeal_lab::run::{play, Played};
-use raildeal_rig::cold_start;
+use raildeal_rig::cold_start::{self, Ends};
 use raildeal_rig::record::Verdict;
 use raildeal_rig::scenario::{self, Scenario};
 use std::fs::File;
@@ -146,17 +146,6 @@
     },
 }
 
-/// How processes end.
-#[derive(Clone, Copy, clap::ValueEnum)]
-enum Ends {
-    /// By SIGKILL.
-    Killed,
-    /// By SIGTERM.
-    Told,
-    /// Every second one by each.
-    Both,
-}
-
 /// The last line of a scenario.
 #[derive(serde::Serialize)]
 struct Last<'a, P> {
@@ -376,11 +365,7 @@
                 of_ten,
                 batches,
                 together,
-                ends: match ends.unwrap_or(usual) {
-                    Ends::Killed => cold_start::Ends::Killed,
-                    Ends::Told => cold_start::Ends::Told,
-                    Ends::Both => cold_start::Ends::Both,
-                },
+                ends: ends.unwrap_or(usual),
                 ask: Duration::from_millis(ask_ms),
                 calm: Duration::from_secs(calm_s),
                 down: Duration::from_secs(down_s),
--- a/rig/src/cold_start.rs
+++ b/rig/src/cold_start.rs
@@ -1,21 +1,16 @@
 //! A whole fleet that starts in the same moment, and most or all of it once more after a kill or a planned end.
 
 use crate::directory::Directory;
-use crate::partner;
-use crate::record::{Record, Verdict, MUST_ASK_IN};
+use crate::record::{Record, Verdict};
 use crate::sender::{NoSender, Sender};
+use crate::stage::{Stage, Told, DESTS, LEFT};
 use serde::Serialize;
-use serde_json::{json, Value};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Destinations.
-pub(crate) const DESTS: usize = 10;
-/// Time that a message has.
-pub(crate) const LEFT: Duration = Duration::from_secs(16);
 /// The platform starts a killed sender again after so long.
 const AGAIN: Duration = Duration::from_millis(600);
 
@@ -59,13 +54,13 @@
 }
 
 /// How a process ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum Ends {
-    /// Killed.
+    /// By SIGKILL.
     Killed,
-    /// Told to end.
+    /// By SIGTERM.
     Told,
-    /// Every second one is killed, the others are told.
+    /// Every second one by each.
     Both,
 }
 
@@ -125,26 +120,6 @@
     Sender(#[from] NoSender),
 }
 
-/// Settings of a deployment with so many senders.
-pub(crate) fn settings(senders: usize) -> Value {
-    json!({
-        "balancers": senders, "discovery": "subscribe", "kinds": ["hook"], "localities": ["a"], "weights": "rough",
-        "categories": [{"name": "event", "promise": 3_000_000_000u64, "deadline": 16_000_000_000u64, "effect": "token",
-            "dedupScope": "zone", "window": 10_000_000_000u64, "points": 1.0, "lateWorth": 0.5}],
-        "familyInfo": {"maxCalls": 12, "kindApart": [true], "kindBatch": [1], "losesWorth": "halving"},
-        "limits": {"maxAttempts": 12, "openCap": 100, "retryAfter": true, "maxRetryAfter": 2_000_000_000u64,
-            "idleClose": 15_000_000_000u64, "connectTimeout": 1_500_000_000u64},
-        "rules": {"coldShare": 0.23, "warmAfter": 13_000_000_000u64, "overloadFactor": 2.0,
-            "overloadFor": 3_000_000_000u64, "mustAskIn": MUST_ASK_IN.as_nanos() as u64}
-    })
-}
-
-/// A line of the directory.
-pub(crate) fn target(n: usize, uid: &str, endpoint: &str) -> Value {
-    json!({"uid": uid, "endpoint": endpoint, "az": "a", "model": "hook", "pod_group": n % DESTS, "state": "active",
-        "capacity_hint": 50.0, "boot_ms": 0})
-}
-
 /// A fleet that is played.
 struct Fleet<'a> {
     plan: &'a Plan,
@@ -192,13 +167,10 @@
     /// Starts these, serves until all are told, and tells how it went.
     fn round(&mut self, which: &[usize], directory: &Directory) -> Result<Round, NotPlayed> {
         let (asks, failed, connections, told) = {
-            let seen = self.record.seen();
-            (seen.asks, seen.failed, seen.connections, seen.told.len())
-        };
-        {
             let mut seen = self.record.seen();
             seen.peak = seen.open;
-        }
+            (seen.asks, seen.failed, seen.connections, seen.told.len())
+        };
         let mut begun = Instant::now();
         self.begin(which)?;
         if told > 0 && !self.plan.stopped.is_zero() {
@@ -236,30 +208,17 @@
 /// # Errors
 /// Stand-ins or processes could not be started.
 pub fn play(plan: &Plan) -> Result<Played, NotPlayed> {
-    let record = Arc::new(Record::default());
-    let mut targets = Vec::new();
-    for n in 0..plan.endpoints {
-        let address = partner::start(&format!("s{n}"), Duration::from_millis(50), record.clone())?;
-        targets.push(target(n, &format!("s{n}"), &address.to_string()));
-    }
-    let directory = Directory::start(plan.ask, targets.clone(), record.clone())?;
+    let stage = Stage::set(plan.endpoints, Duration::from_millis(50), plan.ask, |n| n % 3 == 0)?;
+    let Stage { record, directory, .. } = &stage;
     directory.down(!plan.down.is_zero());
-    // Nobody listens on this port of the loopback addresses.
-    let gone = |n: usize| target(n, &format!("gone{n}"), &format!("127.0.0.9:{}", 1 + n));
-    let kept: Vec<Value> =
-        targets.iter().enumerate().map(|(n, t)| if n % 3 == 0 { gone(n) } else { t.clone() }).collect();
-    let config = |n: usize| {
-        json!({"listen": "127.0.0.1:0", "discovery": directory.address, "seed": format!("{:016x}", plan.seed + n as u64),
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
-            "known": {"rev": 1, "all": true, "targets": kept}, "settings": settings(plan.balancers)})
-    };
-    let senders =
-        (0..plan.senders).map(|n| Sender::new(&plan.program, format!("n{n}"), config(n), plan.together));
+    let Plan { program, seed, balancers, together, .. } = plan;
+    let told = Told { program, seed: *seed, balancers: *balancers, together: *together };
+    let senders = (0..plan.senders).map(|n| stage.sender(&told, n, directory.address));
     let senders = senders.collect::<Result<Vec<_>, _>>()?;
     let random = fastrand::Rng::with_seed(plan.seed);
     let mut fleet = Fleet { plan, record: record.clone(), senders, handed: 0, random, ended_badly: 0 };
     let all: Vec<usize> = (0..plan.senders).collect();
-    let start = fleet.round(&all, &directory)?;
+    let start = fleet.round(&all, directory)?;
 
     fleet.serve(plan.calm, |_| false);
     let calm_open = record.seen().open;
@@ -271,17 +230,13 @@
             fleet.begin(batch)?;
             fleet.end(batch);
         }
-        back.push(fleet.round(batch, &directory)?);
+        back.push(fleet.round(batch, directory)?);
     }
     record.settle(LEFT + Duration::from_secs(2));
-    let dead = fleet.senders.iter_mut().filter_map(|s| (!s.lives()).then_some(())).count();
+    let dead: usize = fleet.senders.iter_mut().map(|s| usize::from(!s.lives())).sum();
     let crashed = dead + fleet.ended_badly;
     drop(fleet);
-    let seen = record.seen();
-    let count = |of: fn(&crate::record::Life) -> bool| seen.lives.values().filter(|l| of(l)).count();
-    let (taken_on, delivered) = (count(|l| l.taken_on), count(|l| l.taken_on && l.delivered > 0));
-    let most_open = seen.most_open;
-    drop(seen);
+    let ((taken_on, delivered), most_open) = (record.ends(), record.seen().most_open);
     Ok(Played { start, calm_open, back, taken_on, delivered, most_open, crashed, verdict: record.verdict() })
 }
 
--- a/rig/src/directory.rs
+++ b/rig/src/directory.rs
@@ -162,9 +162,10 @@
 fn watch(mut stream: &TcpStream, request: &Http, shared: &Shared) -> io::Result<()> {
     let (asker, served) = channel();
     let port = request.header("host").and_then(|h| h.rsplit(':').next()?.parse::<u16>().ok());
-    {
+    let name = {
         let mut state = shared.state();
-        shared.record.asks(port.and_then(|p| state.names.get(&p)).map_or("", String::as_str));
+        let name = port.and_then(|p| state.names.get(&p)).cloned().unwrap_or_default();
+        shared.record.asks(&name);
         if state.down {
             return stream.shutdown(Shutdown::Both);
         }
@@ -174,7 +175,8 @@
             return stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
         }
         state.queue.push_back(asker);
-    }
+        name
+    };
     shared.come.notify_one();
     if let Err(why) = served.recv_timeout(FAILS) {
         shared.record.seen().failed += 1;
@@ -183,14 +185,13 @@
         }
         return stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
     }
-    let (name, mut told, targets) = {
+    let (mut told, targets) = {
         let mut state = shared.state();
         if state.down {
             return stream.shutdown(Shutdown::Both);
         }
         state.watches.push(stream.try_clone()?);
-        let name = port.and_then(|p| state.names.get(&p)).cloned().unwrap_or_default();
-        (name, state.rev, state.targets.clone())
+        (state.rev, state.targets.clone())
     };
     let tell = |mut stream: &TcpStream, rev: u64, all: bool, targets: &[Value]| -> io::Result<()> {
         let line = format!("{}\n", json!({"rev": rev, "all": all, "targets": targets}));
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod relay;
 pub mod scenario;
 pub mod sender;
+mod stage;
 
 use std::io::{self, BufRead, Read};
 
--- a/rig/src/record.rs
+++ b/rig/src/record.rs
@@ -175,22 +175,20 @@
             let ago = now - out.at;
             seen.twice.push(format!("{by} sends {id} to {uid}, which is out at {} since {ago:?}", out.uid));
         }
-        let late = !seen.deaf.contains(&by)
-            && seen.drains.get(&(by.clone(), uid.to_string())).is_some_and(|told| now > *told + GRACE);
+        let told = seen.drains.get(&(by.clone(), uid.to_string())).filter(|_| !seen.deaf.contains(&by));
         // What nobody told counts as told after a time to whoever does not even ask.
-        let untold = seen.unwanted.get(uid).is_some_and(|since| {
-            now > *since + MUST_ASK_IN + GRACE && seen.asked.get(&by).is_none_or(|asked| asked < since)
-        });
         let in_vain =
             seen.in_vain.get(&by).is_some_and(|asked| now <= *asked + IN_VAIN * MUST_ASK_IN + GRACE);
-        let breach = late || untold && !in_vain && !seen.unseen.contains(&by);
-        if breach && seen.after_drain.len() < BREACHES {
-            let why = if late { "told" } else { "counts as told" };
-            let since =
-                if late { seen.drains.get(&(by.clone(), uid.to_string())) } else { seen.unwanted.get(uid) };
-            let late = since.map_or(Duration::ZERO, |s| now - *s);
-            let text = format!("{by} sends {id} to {uid}, which drains: {why}, {late:?} ago");
-            seen.after_drain.push((if why == "told" { late } else { late - MUST_ASK_IN }, text));
+        let untold = seen.unwanted.get(uid).filter(|since| {
+            !in_vain && !seen.unseen.contains(&by) && seen.asked.get(&by).is_none_or(|asked| asked < since)
+        });
+        let since = [("told", told.copied()), ("counts as told", untold.map(|since| *since + MUST_ASK_IN))];
+        let breach =
+            since.into_iter().find_map(|(why, told)| Some((why, told.filter(|t| now > *t + GRACE)?)));
+        if let Some((why, told)) = breach.filter(|_| seen.after_drain.len() < BREACHES) {
+            let late = now - told;
+            let text = format!("{by} sends {id} to {uid}, which drains: {why} since {late:?}");
+            seen.after_drain.push((late, text));
         }
     }
 
@@ -272,6 +270,13 @@
         self.seen().lives.values().filter(|l| l.is_open()).count()
     }
 
+    /// Messages that were taken on, and those of them that were delivered.
+    pub fn ends(&self) -> (usize, usize) {
+        let seen = self.seen();
+        let taken_on = || seen.lives.values().filter(|l| l.taken_on);
+        (taken_on().count(), taken_on().filter(|l| l.delivered > 0).count())
+    }
+
     /// Waits until each message taken on has its end, or for so long.
     pub fn settle(&self, most: Duration) {
         let end = Instant::now() + most;
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -1,13 +1,12 @@
 //! A schedule of faults over many processes, read from a file and played.
 
-use crate::cold_start::{settings, target, NotPlayed, DESTS, LEFT};
+use crate::cold_start::NotPlayed;
 use crate::directory::Directory;
-use crate::partner;
-use crate::record::{Life, Record, Verdict};
+use crate::record::{Record, Verdict};
 use crate::relay::{Break, Breaks, Fault, Relay};
 use crate::sender::{Log, Sender};
+use crate::stage::{Stage, Told, DESTS, LEFT};
 use serde::{Deserialize, Serialize};
-use serde_json::{json, Value};
 use std::path::Path;
 use std::sync::Arc;
 use std::thread;
@@ -411,7 +410,7 @@
 struct Play<'a> {
     scenario: &'a Scenario,
     record: Arc<Record>,
-    directory: Directory,
+    directory: &'a Directory,
     senders: Vec<Sender>,
     lines: Vec<Relay>,
     /// Those that should run.
@@ -505,30 +504,18 @@
 /// # Errors
 /// Stand-ins or processes could not be started.
 pub fn play(scenario: &Scenario, program: &Path, seed: u64) -> Result<Outcome, NotPlayed> {
-    let record = Arc::new(Record::default());
-    let mut targets = Vec::new();
-    for n in 0..scenario.endpoints {
-        let uid = format!("s{n}");
-        let address = partner::start(&uid, Duration::from_millis(scenario.call_ms), record.clone())?;
-        targets.push(target(n, &uid, &address.to_string()));
-    }
-    let directory =
-        Directory::start(Duration::from_millis(scenario.ask_ms), targets.clone(), record.clone())?;
-    // Nobody listens on these ports of the loopback addresses.
-    let gone = |n: usize| target(n, &format!("gone{n}"), &format!("127.0.0.9:{}", 1 + n));
     let is_gone = |n: usize| scenario.kept == Kept::Gone || scenario.kept == Kept::ThirdGone && n % 3 == 0;
-    let kept: Vec<Value> =
-        targets.iter().enumerate().map(|(n, t)| if is_gone(n) { gone(n) } else { t.clone() }).collect();
+    let [call, ask] = [scenario.call_ms, scenario.ask_ms].map(Duration::from_millis);
+    let stage = Stage::set(scenario.endpoints, call, ask, is_gone)?;
+    let Stage { record, directory, .. } = &stage;
+    let balancers = scenario.balancers.unwrap_or(scenario.senders);
+    let told = Told { program, seed, balancers, together: scenario.together };
     let (mut senders, mut lines) = (Vec::new(), Vec::new());
     for n in 0..scenario.senders {
-        let (name, line) = (format!("n{n}"), Relay::start(directory.address)?);
-        directory.names(line.address.port(), &name);
-        let config = json!({"listen": "127.0.0.1:0", "discovery": line.address,
-            "seed": format!("{:016x}", seed + n as u64),
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
-            "known": {"rev": 1, "all": true, "targets": kept},
-            "settings": settings(scenario.balancers.unwrap_or(scenario.senders))});
-        senders.push(Sender::new(program, name, config, scenario.together)?);
+        let line = Relay::start(directory.address)?;
+        let sender = stage.sender(&told, n, line.address)?;
+        directory.names(line.address.port(), &sender.name);
+        senders.push(sender);
         lines.push(line);
     }
     let (run, ending) = (vec![false; senders.len()], vec![false; senders.len()]);
@@ -546,21 +533,19 @@
     let (steps, handed) = run_through(&mut play, seed)?;
     record.settle(LEFT + Duration::from_secs(2));
     (0..scenario.senders).for_each(|n| play.ended(n));
-    let dead =
-        play.senders.iter_mut().zip(&play.run).filter_map(|(s, run)| (*run && !s.lives()).then_some(()));
-    let crashed = play.crashed + dead.count();
+    let dead = play.senders.iter_mut().zip(&play.run).map(|(s, run)| usize::from(*run && !s.lives()));
+    let crashed = play.crashed + dead.sum::<usize>();
     let broken_off = play.lines.iter().map(Relay::broken).sum();
     let held = play.held;
     drop(play);
-    let verdict = record.verdict();
+    let (verdict, (taken_on, delivered)) = (record.verdict(), record.ends());
     let seen = record.seen();
-    let count = |of: fn(&Life) -> bool| seen.lives.values().filter(|l| of(l)).count();
     let mut outcome = Outcome {
         steps,
         handed,
         held,
-        taken_on: count(|l| l.taken_on),
-        delivered: count(|l| l.taken_on && l.delivered > 0),
+        taken_on,
+        delivered,
         asks: seen.asks,
         failed: seen.failed,
         told: seen.told.len(),
@@ -581,11 +566,11 @@
     let wanted = &scenario.wanted;
     let missed = [
         ("steps", steps < scenario.steps.len()),
-        ("delivered", (outcome.delivered as f64) < wanted.delivered * outcome.taken_on as f64),
+        ("delivered", (delivered as f64) < wanted.delivered * taken_on as f64),
         ("asks", wanted.asks.is_some_and(|most| outcome.asks > most)),
         ("held", held < wanted.held),
         ("broken_off", broken_off < wanted.broken_off),
-        ("taken_on", outcome.taken_on == 0),
+        ("taken_on", taken_on == 0),
     ];
     outcome.missed = missed.iter().filter(|m| m.1).map(|m| m.0.to_string()).collect();
     Ok(outcome)
--- /dev/null
+++ b/rig/src/stage.rs
@@ -0,0 +1,87 @@
+//! What every play stands on: endpoints of partners, the directory that lists them, and senders that are told of both.
+
+use crate::directory::Directory;
+use crate::partner;
+use crate::record::{Record, MUST_ASK_IN};
+use crate::sender::{NoSender, Sender};
+use serde_json::{json, Value};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Destinations.
+pub(crate) const DESTS: usize = 10;
+/// Time that a message has.
+pub(crate) const LEFT: Duration = Duration::from_secs(16);
+
+/// Stand-ins that run, and the list that senders keep of them.
+pub(crate) struct Stage {
+    pub record: Arc<Record>,
+    pub directory: Directory,
+    kept: Vec<Value>,
+}
+
+/// What a sender is told.
+pub(crate) struct Told<'a> {
+    pub program: &'a Path,
+    pub seed: u64,
+    /// How many senders the settings say that there are.
+    pub balancers: usize,
+    /// The share of them that restarts together.
+    pub together: f64,
+}
+
+impl Stage {
+    /// So many endpoints `s0`, `s1` and so on, destinations in turn, that need `call` for a call, and a directory that needs `ask`
+    /// for an ask. The kept lists name others in place of those that are gone.
+    pub fn set(
+        endpoints: usize,
+        call: Duration,
+        ask: Duration,
+        is_gone: impl Fn(usize) -> bool,
+    ) -> io::Result<Stage> {
+        let record = Arc::new(Record::default());
+        let (mut targets, mut kept) = (Vec::new(), Vec::new());
+        for n in 0..endpoints {
+            let uid = format!("s{n}");
+            let there = target(n, &uid, &partner::start(&uid, call, record.clone())?.to_string());
+            // Nobody listens on these ports of the loopback addresses.
+            let gone = || target(n, &format!("gone{n}"), &format!("127.0.0.9:{}", 1 + n));
+            kept.push(if is_gone(n) { gone() } else { there.clone() });
+            targets.push(there);
+        }
+        let directory = Directory::start(ask, targets, record.clone())?;
+        Ok(Stage { record, directory, kept })
+    }
+
+    /// The sender `n0`, `n1` or so on, which finds the directory at an address; it is not started yet.
+    pub fn sender(&self, told: &Told, n: usize, directory: SocketAddr) -> Result<Sender, NoSender> {
+        let config = json!({"listen": "127.0.0.1:0", "discovery": directory,
+            "seed": format!("{:016x}", told.seed + n as u64),
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
+            "known": {"rev": 1, "all": true, "targets": self.kept}, "settings": settings(told.balancers)});
+        Sender::new(told.program, format!("n{n}"), config, told.together)
+    }
+}
+
+/// Settings of a deployment with so many senders.
+fn settings(senders: usize) -> Value {
+    json!({
+        "balancers": senders, "discovery": "subscribe", "kinds": ["hook"], "localities": ["a"], "weights": "rough",
+        "categories": [{"name": "event", "promise": 3_000_000_000u64, "deadline": 16_000_000_000u64, "effect": "token",
+            "dedupScope": "zone", "window": 10_000_000_000u64, "points": 1.0, "lateWorth": 0.5}],
+        "familyInfo": {"maxCalls": 12, "kindApart": [true], "kindBatch": [1], "losesWorth": "halving"},
+        "limits": {"maxAttempts": 12, "openCap": 100, "retryAfter": true, "maxRetryAfter": 2_000_000_000u64,
+            "idleClose": 15_000_000_000u64, "connectTimeout": 1_500_000_000u64},
+        "rules": {"coldShare": 0.23, "warmAfter": 13_000_000_000u64, "overloadFactor": 2.0,
+            "overloadFor": 3_000_000_000u64, "mustAskIn": MUST_ASK_IN.as_nanos() as u64}
+    })
+}
+
+/// A line of the directory.
+fn target(n: usize, uid: &str, endpoint: &str) -> Value {
+    json!({"uid": uid, "endpoint": endpoint, "az": "a", "model": "hook", "pod_group": n % DESTS, "state": "active",
+        "capacity_hint": 50.0, "boot_ms": 0})
+}
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -247,10 +247,8 @@
             assert!(asking.due(now));
             if answered {
                 asking.heard(now + secs(after));
-                asking.failed(now + secs(after), || 1.0);
-            } else {
-                asking.failed(now + secs(after), || 1.0);
             }
+            asking.failed(now + secs(after), || 1.0);
             to_secs(asking.next().expect("settled") - now)
         };
         let mut asking = start(0, 300, 0, || 0.5);
--- a/src/core/earlier.rs
+++ b/src/core/earlier.rs
@@ -34,13 +34,13 @@
 /// the log for each note that does not count.
 pub fn look(folder: &Path, now_ms: u64) -> (Earlier, Vec<String>) {
     let mut faults = Vec::new();
-    let mut note = |name: &str, most_ms| {
-        read(folder, name, now_ms, most_ms).unwrap_or_else(|e| {
+    let mut note = |name: &str, numbers, most_ms| {
+        read(&folder.join(name), numbers, now_ms, most_ms).unwrap_or_else(|e| {
             faults.push(format!("{name}: {e}"));
             None
         })
     };
-    let (ended, asked) = (note(ENDED, RESTART_MS), note(ASKED, ASKED_MS));
+    let (ended, asked) = (note(ENDED, 1, RESTART_MS), note(ASKED, 2, ASKED_MS));
     let cost = asked.map(|us| asking::kept_cost(Duration::from_micros(us)));
     match fs::remove_file(folder.join(ENDED)) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => {
@@ -52,23 +52,18 @@
     }
 }
 
-/// The last number of a note that is there and fresh.
-fn read(folder: &Path, name: &str, now_ms: u64, most_ms: u64) -> io::Result<Option<u64>> {
-    let text = match fs::read_to_string(folder.join(name)) {
+/// The last of a note's numbers, the first of which is when it was written; nothing where it is not there, or too old.
+fn read(file: &Path, numbers: usize, now_ms: u64, most_ms: u64) -> io::Result<Option<u64>> {
+    let text = match fs::read_to_string(file) {
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
         text => text?,
     };
-    let numbers: Option<Vec<u64>> =
+    let bad = |what| io::Error::new(io::ErrorKind::InvalidData, what);
+    let found: Option<Vec<u64>> =
         text.strip_suffix('\n').and_then(|line| line.split(' ').map(|n| n.parse().ok()).collect());
-    let (at, last) = match (name, numbers.as_deref()) {
-        (ENDED, Some([at])) => (*at, *at),
-        (ASKED, Some([at, last])) => (*at, *last),
-        _ => return Err(io::Error::new(io::ErrorKind::InvalidData, "torn")),
-    };
-    match now_ms.checked_sub(at) {
-        None => Err(io::Error::new(io::ErrorKind::InvalidData, "from the future")),
-        Some(age) => Ok((age <= most_ms).then_some(last)),
-    }
+    let found = found.filter(|f| f.len() == numbers).ok_or_else(|| bad("torn"))?;
+    let age = now_ms.checked_sub(found[0]).ok_or_else(|| bad("from the future"))?;
+    Ok(found.last().copied().filter(|_| age <= most_ms))
 }
 
 #[cfg(test)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -903,7 +903,8 @@
             }
             let (line, later) = self.eligible(now, dest);
             // Blind, it calls nobody: what is listed may have drained, and the next ask is not far.
-            self.dest(dest).look_at = later.min(if blind { now + BLIND_LOOK } else { later }).max(now + MS);
+            let later = if blind { later.min(now + BLIND_LOOK) } else { later };
+            self.dest(dest).look_at = later.max(now + MS);
             if !blind && !line.is_empty() && !self.dests[&dest].hosts.is_empty() {
                 lines.insert(dest, line.into());
             }
