--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -67,3 +67,49 @@
         ],
     );
 }
+
+/// The table of a site that the acceptance is played on beside the customers' own.
+fn site(name: &str) -> toml::Table {
+    let text = std::fs::read_to_string(format!("deploy/sites/{name}.toml")).expect("text");
+    text.parse().expect("a table")
+}
+
+fn tables<'a>(site: &'a toml::Table, name: &str) -> Vec<&'a toml::Table> {
+    let all = site.get(name).and_then(toml::Value::as_array).into_iter().flatten();
+    all.map(|entry| entry.as_table().expect("a table")).collect()
+}
+
+fn number(table: &toml::Table, key: &str) -> f64 {
+    let value = table.get(key).unwrap_or_else(|| panic!("{key} is missing"));
+    value.as_float().or(value.as_integer().map(|n| n as f64)).expect("a number")
+}
+
+#[test]
+fn the_site_of_many_classes_has_each_effect_short_windows_and_tenants_with_shares() {
+    let site = site("many-classes");
+    let classes = tables(&site, "class");
+    let mut effects: Vec<_> = classes.iter().filter_map(|c| c["effect"].as_str()).collect();
+    effects.sort_unstable();
+    assert_eq!(effects, ["keyed", "safe", "unsafe"]);
+    for class in &classes {
+        assert_eq!(number(class, "window_ms"), 1_000.0);
+        let (aim, deadline) = (number(class, "aim_ms"), number(class, "deadline_ms"));
+        assert!(aim < deadline && deadline <= 8_000.0, "{aim} {deadline}");
+    }
+    let sum_of_shares = |name| tables(&site, name).iter().map(|t| number(t, "share")).sum::<f64>();
+    assert!((sum_of_shares("class") - 1.0).abs() < 1e-9 && (sum_of_shares("tenant") - 1.0).abs() < 1e-9);
+    assert_eq!(tables(&site, "tenant").len(), 3);
+}
+
+#[test]
+fn the_site_of_tight_limits_pushes_lists_and_leaves_little_room() {
+    let site = site("tight-limits");
+    assert_eq!(site["discovery"]["mode"].as_str(), Some("push"));
+    assert_eq!(site["allow"]["max_attempts"].as_integer(), Some(4));
+    assert_eq!(tables(&site, "class")[0]["group"].as_str(), Some("all"));
+    let family = site["fam"].as_table().expect("a table");
+    for kind in tables(family, "kind") {
+        let headroom = kind["headroom"].as_array().expect("a range");
+        assert!(headroom.iter().all(|h| h.as_float().is_some_and(|h| h <= 1.5)), "{headroom:?}");
+    }
+}
