--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -133,10 +133,9 @@
         self.0.machine.borrow_mut().ledger.ended(&entry.zone, entry.dest, outcome, took);
     }
 
-    fn life(&self, policy: u64, class: u16, life: Life) {
+    fn life(&self, policy: u64, class: u16, tenant: u16, life: Life) {
         let class = self.0.parts.house.classes.get(usize::from(class)).map_or("", String::as_str);
-        // Messages on sockets name no tenant.
-        self.0.machine.borrow_mut().ledger.life(policy, class, 0, life);
+        self.0.machine.borrow_mut().ledger.life(policy, class, tenant, life);
     }
 }
 
--- a/src/core/account.rs
+++ b/src/core/account.rs
@@ -14,6 +14,10 @@
 }
 
 /// What the journal knows of one message.
+///
+/// On disk three numbers may stand behind it: policy, routing table and tenant, in this order. The last ones that are 0 are left out, so
+/// a record without any is as it always was, and an older record says 0 for what it does not know: its tenant is the first one, as the
+/// process that wrote it took all messages for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Account {
     /// The message.
@@ -42,14 +46,12 @@
 impl Account {
     /// Its form on disk.
     pub(super) fn encode(&self) -> Vec<u8> {
-        let mut bytes = postcard::to_stdvec(self).expect("plain data always encodes");
-        if self.policy > 0 || self.table > 0 {
-            bytes = postcard::to_extend(&self.policy, bytes).expect("plain data always encodes");
-        }
-        if self.table > 0 {
-            bytes = postcard::to_extend(&self.table, bytes).expect("plain data always encodes");
-        }
-        bytes
+        let behind = [self.policy, self.table, u64::from(self.envelope.tenant)];
+        let told = behind.iter().rposition(|number| *number > 0).map_or(0, |last| last + 1);
+        let account = postcard::to_stdvec(self).expect("plain data always encodes");
+        behind[..told].iter().fold(account, |bytes, number| {
+            postcard::to_extend(number, bytes).expect("plain data always encodes")
+        })
     }
 
     /// Reads that form.
@@ -57,14 +59,19 @@
     /// # Errors
     /// It is another one.
     pub(super) fn decode(bytes: &[u8]) -> Result<Account, postcard::Error> {
-        let (mut account, behind) = postcard::take_from_bytes::<Account>(bytes)?;
-        if !behind.is_empty() {
-            let rest;
-            (account.policy, rest) = postcard::take_from_bytes(behind)?;
-            if !rest.is_empty() {
-                account.table = postcard::from_bytes(rest)?;
+        let (mut account, mut rest) = postcard::take_from_bytes::<Account>(bytes)?;
+        let mut next = || -> Result<u64, postcard::Error> {
+            if rest.is_empty() {
+                return Ok(0);
             }
-        }
+            let (number, behind) = postcard::take_from_bytes(rest)?;
+            rest = behind;
+            Ok(number)
+        };
+        account.policy = next()?;
+        account.table = next()?;
+        let tenant = u16::try_from(next()?).map_err(|_| postcard::Error::DeserializeBadVarint)?;
+        Rc::make_mut(&mut account.envelope).tenant = tenant;
         Ok(account)
     }
 
@@ -117,11 +124,21 @@
         verdict: Option<Verdict>,
     }
 
-    fn account(policy: u64, table: u64) -> Account {
+    fn account(policy: u64, table: u64, tenant: u16) -> Account {
         let notes = vec![("origin".to_string(), "x".to_string())];
         let (id, key, reply_to) = ("m1".to_string(), Some("k1".to_string()), vec![1, 2]);
-        let envelope =
-            Envelope { front: 1, id, key, class: 2, dest: 7, reply_to, notes, body: vec![9; 5], away: 0 };
+        let envelope = Envelope {
+            front: 1,
+            id,
+            key,
+            class: 2,
+            dest: 7,
+            reply_to,
+            notes,
+            body: vec![9; 5],
+            away: 0,
+            tenant,
+        };
         Account {
             envelope: Rc::new(envelope),
             taken_ms: 1_700_000_000_000,
@@ -141,24 +158,26 @@
                            0161000101f403";
 
     #[test]
-    fn without_a_policy_or_table_the_form_is_the_old_one_to_the_byte_and_with_one_an_old_reader_reads_it() {
-        let Account { envelope, taken_ms, expires_ms, attempts, ran, out, verdict, .. } = account(0, 0);
+    fn without_numbers_behind_it_the_form_is_the_old_one_to_the_byte_and_with_them_an_old_reader_reads_it() {
+        let Account { envelope, taken_ms, expires_ms, attempts, ran, out, verdict, .. } = account(0, 0, 0);
         let old = Old { envelope, taken_ms, expires_ms, attempts, ran, out, verdict };
         let old = postcard::to_stdvec(&old).expect("encodes");
-        assert_eq!(account(0, 0).encode(), old);
-        assert_eq!(Account::decode(&old), Ok(account(0, 0)));
-        let new = account(300, 0).encode();
-        assert_eq!((new.len(), Account::decode(&new)), (old.len() + 2, Ok(account(300, 0))));
+        assert_eq!(account(0, 0, 0).encode(), old);
+        assert_eq!(Account::decode(&old), Ok(account(0, 0, 0)));
+        let new = account(300, 0, 0).encode();
+        assert_eq!((new.len(), Account::decode(&new)), (old.len() + 2, Ok(account(300, 0, 0))));
         // What stands behind an account did not count.
-        assert_eq!(postcard::from_bytes::<Account>(&new), Ok(account(0, 0)));
-        for (policy, table, more) in [(0, 7, 2), (300, 7, 3)] {
-            let newest = account(policy, table).encode();
+        assert_eq!(postcard::from_bytes::<Account>(&new), Ok(account(0, 0, 0)));
+        for (policy, table, tenant, more) in
+            [(0, 7, 0, 2), (300, 7, 0, 3), (0, 0, 1, 3), (300, 7, 1, 4), (0, 0, u16::MAX, 5)]
+        {
+            let newest = account(policy, table, tenant).encode();
             assert_eq!(newest.len(), old.len() + more);
-            assert_eq!(Account::decode(&newest), Ok(account(policy, table)));
-            // Who knows policies alone reads the number that follows an account.
-            let read = postcard::take_from_bytes::<Account>(&newest)
-                .and_then(|(_, b)| postcard::from_bytes::<u64>(b));
-            assert_eq!(read, Ok(policy));
+            assert_eq!(Account::decode(&newest), Ok(account(policy, table, tenant)));
+            // Who knows policies alone reads the number that follows an account; who knows tables, too, that behind it.
+            let (_, behind) = postcard::take_from_bytes::<Account>(&newest).expect("an account");
+            let (read, behind) = postcard::take_from_bytes::<u64>(behind).expect("a policy");
+            assert_eq!((read, postcard::from_bytes::<u64>(behind)), (policy, Ok(table)));
         }
         assert!(Account::decode(&new[..old.len() - 1]).is_err());
         assert_eq!(data_encoding::HEXLOWER.encode(&old), WRITTEN);
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -139,9 +139,9 @@
     }
 
     /// Tells whoever sees it what became of a message.
-    pub fn saw(&self, policy: u64, class: u16, life: Life) {
+    pub fn saw(&self, policy: u64, class: u16, tenant: u16, life: Life) {
         if let Some(witness) = self.witness.get() {
-            witness.life(policy, class, life);
+            witness.life(policy, class, tenant, life);
         }
     }
 
--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -119,7 +119,7 @@
 /// Tells messages of one name apart.
 fn print(envelope: &Envelope) -> u32 {
     let mut print = crc32fast::Hasher::new();
-    print.update(&[envelope.class.to_be_bytes(), envelope.dest.to_be_bytes()].concat());
+    print.update(&[envelope.class, envelope.dest, envelope.tenant].map(u16::to_be_bytes).concat());
     print.update(envelope.key.as_deref().unwrap_or("").as_bytes());
     print.finalize()
 }
@@ -154,7 +154,8 @@
     };
     let held = terms.hold();
     let (policy, table) = (held.policy.clone(), house.tables.current());
-    let turned_away = |class| house.desk.saw(policy.number, class, Life::TurnedAway);
+    let tenant = envelope.tenant;
+    let turned_away = |class| house.desk.saw(policy.number, class, tenant, Life::TurnedAway);
     // No message is held for longer than its class may be, whatever its client says.
     let left = policy.class(envelope.class).map_or(left, |c| left.min(span(c.deadline)));
     let Some(named) = Named::new(&house, &envelope) else {
@@ -252,7 +253,7 @@
     }
     log::debug!("{id}: {}", step::HEARD);
     named.decided.is(true);
-    house.desk.saw(policy.number, class, Life::Taken);
+    house.desk.saw(policy.number, class, tenant, Life::Taken);
     deliver(&house, envelope, record, &held, (ticket, guest), first, started + left).await;
 }
 
@@ -340,7 +341,8 @@
         }
     };
     drop((ticket, guest));
-    house.desk.saw(held.policy.number, envelope.class, end(held, &envelope, verdict, deadline));
+    let life = end(held, &envelope, verdict, deadline);
+    house.desk.saw(held.policy.number, envelope.class, envelope.tenant, life);
     let left = deadline.saturating_duration_since(Instant::now());
     log::debug!("{}: {}", envelope.id, step::ended(&envelope, record.account().table, verdict, left));
     house.write_down(&record, verdict, deadline).await;
@@ -377,7 +379,7 @@
         house.directory.admits(endpoint, Instant::now())
             && Instant::now() < deadline
             && !house.desk.is_blind()
-            && house.tables.leads(envelope.dest, envelope.class, provider.zone)
+            && house.tables.leads(envelope, provider.zone)
             && house.may_repeat(held.policy.class(envelope.class), record.ran(), provider.zone)
     };
     // Where it has to be synced, it is written before the connection is asked for: afterwards is too late to wait.
@@ -442,7 +444,8 @@
 
 fn message(envelope: &Envelope, held: &Hold, left: Duration) -> Message {
     let ttl = left.as_nanos() as Time;
-    Message { class: held.class(envelope.class), dest: envelope.dest, ttl, ..Message::default() }
+    let Envelope { dest, tenant, .. } = *envelope;
+    Message { class: held.class(envelope.class), dest, tenant, ttl, ..Message::default() }
 }
 
 /// Whether a message has no key though its class is one with keys.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -59,6 +59,10 @@
     /// Bytes of a body that is not in memory.
     #[serde(skip)]
     pub away: usize,
+    /// Tenant, as a position in the settings, or [`crate::NO_TENANT`]; 0 where the settings have none. The journal keeps it behind the
+    /// account ([`account::Account`]).
+    #[serde(skip)]
+    pub tenant: u16,
 }
 
 impl Envelope {
@@ -129,8 +133,8 @@
 
 /// Sees what becomes of invoker calls, and of messages.
 pub trait Witness {
-    /// This became of a message of such a class under such a policy. One that was taken on here has one end.
-    fn life(&self, _policy: u64, _class: u16, _life: Life) {}
+    /// This became of a message of such a class and tenant under such a policy. One that was taken on here has one end.
+    fn life(&self, _policy: u64, _class: u16, _tenant: u16, _life: Life) {}
     /// A call is out from now on; what this gives is dropped when it is no longer.
     fn out(&self, provider: &Rc<Provider>) -> Box<dyn Any>;
     /// A call has ended so, after such a time.
--- a/src/core/survey.rs
+++ b/src/core/survey.rs
@@ -51,6 +51,8 @@
     pub table: u64,
     /// Class and destination, as numbers.
     pub class: u16,
+    /// Tenant, as a number; 65535 for none where the settings have some.
+    pub tenant: u16,
     /// Destination.
     pub dest: u16,
     /// Bytes of its body.
@@ -168,6 +170,7 @@
         no,
         id: envelope.id.clone(),
         policy: account.policy,
+        tenant: account.envelope.tenant,
         table: account.table,
         class: envelope.class,
         dest: envelope.dest,
--- a/src/core/tables.rs
+++ b/src/core/tables.rs
@@ -1,5 +1,6 @@
 //! The routing tables that a sender knows, and the one that it goes by. Number 0 is the list alone.
 
+use super::Envelope;
 use crate::routes::{Routes, Traveller};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -28,9 +29,10 @@
     }
 
     /// Whether a message may go to a zone, by the sender's own number of it.
-    pub fn leads(&self, dest: u16, class: u16, zone: u16) -> bool {
+    pub fn leads(&self, message: &Envelope, zone: u16) -> bool {
+        let Envelope { dest, class, tenant, .. } = *message;
         let current = &self.current.borrow().1;
-        current.rank(&Traveller { dest, class, tenant: 0, lot: 0.0 }, zone).is_some()
+        current.rank(&Traveller { dest, class, tenant, lot: 0.0 }, zone).is_some()
     }
 
     /// Knows one more, in place of one of its number that is not current; false where there is no place for it.
@@ -79,13 +81,17 @@
             Routes::new(1, 1, vec![Said { tiers, ..Said::default() }])
         };
         let number = |zone: &str| if zone == "a" { 7 } else { 8 };
+        let message = Envelope { dest: 1, ..Envelope::default() };
         assert!(!tables.add(0, to("a")) && tables.add(4, to("a")) && tables.add(4, to("b")));
         assert!(tables.go_by(5, number).is_none() && tables.go_by(4, number).is_some());
-        assert_eq!((tables.current(), tables.leads(1, 0, 7), tables.leads(1, 0, 8)), (4, false, true));
+        assert_eq!(
+            (tables.current(), tables.leads(&message, 7), tables.leads(&message, 8)),
+            (4, false, true)
+        );
         assert!(!tables.add(4, to("a")) && !tables.forget(4));
         assert!(tables.add(5, to("a")) && tables.add(6, to("a")) && !tables.add(7, to("a")));
         assert!(tables.forget(5) && !tables.forget(5) && tables.add(7, to("a")));
-        assert!(tables.go_by(0, number).is_some() && tables.forget(4) && tables.leads(1, 0, 9));
+        assert!(tables.go_by(0, number).is_some() && tables.forget(4) && tables.leads(&message, 9));
         assert_eq!((tables.numbers(), tables.routes().is_empty()), (vec![6, 7], true));
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -290,12 +290,15 @@
     pub rate: f32,
 }
 
+/// The tenant of a message that names none where the settings have tenants: it is within nobody's share.
+pub const NO_TENANT: u16 = u16::MAX;
+
 /// A message handed to this relay, which owes it one final answer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Message {
     /// Its id.
     pub id: MessageId,
-    /// Its tenant, as a position in [`Settings::tenants`].
+    /// Its tenant, as a position in [`Settings::tenants`]; one that is not there, as [`NO_TENANT`], is within nobody's share.
     pub tenant: u16,
     /// Its class, as a position in [`Settings::classes`].
     pub class: u16,
--- a/src/keeper/table/document.rs
+++ b/src/keeper/table/document.rs
@@ -64,7 +64,8 @@
     #[garde(custom(some))]
     #[serde(skip_serializing_if = "Option::is_none")]
     pub classes: Option<Vec<String>>,
-    /// Tenants, by their position in the senders' settings; without it, all. Where settings have none, all messages are tenant 0's.
+    /// Tenants, by their position in the senders' settings; without it, all. Where settings have none, all messages are tenant 0's; where
+    /// they have some, a message that names none is no tenant's.
     #[garde(custom(some))]
     #[serde(skip_serializing_if = "Option::is_none")]
     pub tenants: Option<Vec<u16>>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -275,9 +275,12 @@
     }
 
     /// Whether a tenant sends clearly more than its share of what all send here; one alone shows nothing.
+    /// What none of the tenants in the settings sends is within nobody's share.
     fn over_share(&mut self, now: Time, tenant: u16) -> bool {
         let i = usize::from(tenant);
-        let Some(share) = self.s.tenants.get(i).map(|t| t.share.clamp(0.0, 1.0)) else { return false };
+        let Some(share) = self.s.tenants.get(i).map(|t| t.share.clamp(0.0, 1.0)) else {
+            return !self.s.tenants.is_empty();
+        };
         let mine = self.tenant_rate[i].hit(now, RATE);
         let others = self.tenant_rate.iter().map(|t| t.rate(now)).sum::<f64>() - mine;
         share < 1.0 && mine > 1.6 * share * others / (1.0 - share) + 1.0
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! Reads the settings that a relay is given at its start, whether as path=value lines or as nested JSON with the same
 //! names. Unknown keys are skipped; no decision is made here.
 
-use crate::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, Tenant, Time};
+use crate::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, Tenant, Time, NO_TENANT};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -13,6 +13,8 @@
     pub settings: Settings,
     /// Names of the classes, in the order of [`Settings::classes`].
     pub classes: Vec<String>,
+    /// Names of the tenants, in the order of [`Settings::tenants`].
+    pub tenants: Tenants,
     /// Names of the kinds of destination, in the order of [`Settings::kinds`].
     pub kinds: Vec<String>,
     /// Names of the zones.
@@ -21,6 +23,46 @@
     pub connect_timeout: Time,
 }
 
+/// Names of the tenants, by position.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tenants(Vec<String>);
+
+/// A message names a tenant that the settings don't have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no such tenant")]
+pub struct UnknownTenant;
+
+impl Tenants {
+    /// Whether the settings have none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Whose message it is that says this name: where the settings have no tenants, whatever it says, the first one's; where they do and
+    /// it says none, [`NO_TENANT`], so that leaving the name out wins no share.
+    ///
+    /// # Errors
+    /// The name, also an empty one, is none of the settings'.
+    pub fn of(&self, said: Option<&str>) -> Result<u16, UnknownTenant> {
+        if self.is_empty() {
+            return Ok(0);
+        }
+        let Some(name) = said else { return Ok(NO_TENANT) };
+        let name = spaceless(name);
+        let at = self.0.iter().position(|tenant| !name.is_empty() && *tenant == name);
+        at.and_then(|at| u16::try_from(at).ok()).ok_or(UnknownTenant)
+    }
+
+    /// Names by which a message would be two tenants' are no use.
+    fn are_told_apart(&self) -> Result<(), String> {
+        let twice = |(at, name): &(usize, &String)| !name.is_empty() && self.0[..*at].contains(name);
+        match self.0.iter().enumerate().find(twice) {
+            Some((at, name)) => Err(format!("setting accounts.{at}.name: '{name}' is there twice")),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Reads path=value lines.
 pub fn from_lines(env: &[u8]) -> Result<Deployment, String> {
     let text = std::str::from_utf8(env).map_err(|e| format!("settings are not UTF-8: {e}"))?;
@@ -59,11 +101,16 @@
 
 fn plain(value: &Value) -> String {
     match value {
-        Value::String(s) => s.replace([' ', ','], "_"),
+        Value::String(s) => spaceless(s),
         other => other.to_string(),
     }
 }
 
+/// A name in the line form, which has no room for spaces and commas.
+fn spaceless(name: &str) -> String {
+    name.replace([' ', ','], "_")
+}
+
 struct Env(BTreeMap<String, String>);
 
 impl Env {
@@ -133,8 +180,9 @@
             Ok(Kind { apart: apart.get(i) == Some(&"true"), batch: size })
         })
         .collect::<Result<_, String>>()?;
-    let class_names =
-        env.items("categories", |p| Ok(env.word(&format!("{p}.name")).unwrap_or("").to_string()))?;
+    let names = |list| env.items(list, |p| Ok(env.word(&format!("{p}.name")).unwrap_or("").to_string()));
+    let (class_names, tenant_names) = (names("categories")?, Tenants(names("accounts")?));
+    tenant_names.are_told_apart()?;
     let fees = env.list("familyInfo.carriage").into_iter().map(str::parse);
     let zone_fees =
         fees.collect::<Result<_, _>>().map_err(|e| format!("setting familyInfo.carriage: {e}"))?;
@@ -179,6 +227,7 @@
     Ok(Deployment {
         settings,
         classes: class_names,
+        tenants: tenant_names,
         kinds: env.names("kinds"),
         zones: env.names("localities"),
         connect_timeout: env.get("limits.connectTimeout", 1_500_000_000)?,
--- a/tests/invocation.rs
+++ b/tests/invocation.rs
@@ -350,6 +350,42 @@
     assert_eq!(*front.0.borrow(), [Verdict::Delivered]);
 }
 
+/// The first tenant's messages go to the other zone: the module, and the look right before the first byte, have to know whose it is, also
+/// in the next process.
+#[test]
+fn a_message_goes_by_its_own_tenant_s_route_and_still_does_after_a_kill() {
+    let to = |tenants: Option<Vec<u16>>, zone: &str| Said {
+        tenants,
+        tiers: vec![vec![(1, vec![zone.to_string()])]],
+        ..Said::default()
+    };
+    let routes = Routes::new(1, 2, vec![to(Some(vec![1]), "b"), to(None, "a")]);
+    let folder = TempDir::new().expect("a folder");
+    {
+        let executor = LocalExecutor::new();
+        let full = Outcome::Full { wait: 12 * SEC };
+        let (house, invoker, _) = house(&folder, Setup::new(1_000_000), &[full], None, &executor);
+        assert!(house.tables.add(1, routes.clone()) && house.route_by(1));
+        let (client, envelope, left) = message();
+        let served = serve(house.clone(), client, Envelope { tenant: 1, ..envelope }, left, Box::new(Yes));
+        let killed = async {
+            while invoker.went.borrow().is_empty() {
+                house.wheel.sleep(Duration::from_millis(5)).await;
+            }
+        };
+        async_io::block_on(executor.run(future::or(served, killed)));
+        assert_eq!(*invoker.went.borrow(), [("b".into(), true)]);
+    }
+    let executor = LocalExecutor::new();
+    let (house, invoker, front, records) =
+        house_again(&folder, Setup::new(1_000_000), &[Outcome::Ok], None, &executor);
+    assert!(house.tables.add(1, routes) && house.route_by(1));
+    let [record] = records.try_into().unwrap_or_else(|_| panic!("one is held"));
+    async_io::block_on(executor.run(resume(house, record)));
+    assert_eq!(*invoker.went.borrow(), [("b".into(), true)]);
+    assert_eq!(*front.0.borrow(), [Verdict::Delivered]);
+}
+
 /// A process may stand still between any two steps, and the record goes on without it meanwhile.
 #[test]
 fn what_may_not_be_taken_on_any_more_when_it_is_written_is_never_written() {
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -3,10 +3,16 @@
 
 use raildeal::core::journal::{Account, Journal, Record, Sent, Setup};
 use raildeal::core::{journal_v1 as v1, unix_ms, Envelope, Verdict};
-use raildeal::store::log::{Refused, DESCRIPTORS};
+use raildeal::store::disk::Folder;
+use raildeal::store::log::{Items, Log, Options, Refused, DESCRIPTORS};
+use raildeal::store::recover::Replay;
+use raildeal::NO_TENANT;
+use serde::Serialize;
 use std::fs;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tempfile::TempDir;
 
@@ -61,13 +67,18 @@
 }
 
 #[test]
-fn the_policy_that_a_message_was_taken_on_under_outlives_processes_and_cleaning() {
+fn the_policy_that_a_message_was_taken_on_under_and_its_tenant_outlive_processes_and_cleaning() {
     let folder = TempDir::new().expect("a folder");
     let setup = Setup { bodies: 3_000, ..Setup::new(600_000) };
     let opened = || Journal::open(folder.path(), setup).expect("opened");
+    // Every third names none, and every third the first one.
+    let tenant = |n: u64| [0, n as u16, NO_TENANT][n as usize % 3];
     let (journal, _) = opened();
     let held: Vec<Record> = (0..20)
-        .map(|n| journal.take_on(envelope(&format!("m{n}"), 400), LEFT, n * 100, 0).expect("room"))
+        .map(|n| {
+            let envelope = Envelope { tenant: tenant(n), ..envelope(&format!("m{n}"), 400) };
+            journal.take_on(envelope, LEFT, n * 100, 0).expect("room")
+        })
         .collect();
     held.iter().for_each(|r| r.sent("x").expect("written"));
     for _ in 0..3 {
@@ -87,9 +98,70 @@
         let (_journal, records) = opened();
         let policies: Vec<u64> = records.iter().map(|r| r.account().policy).collect();
         assert_eq!(policies, (0..20).map(|n| n * 100).collect::<Vec<_>>());
+        assert!(records.iter().any(|r| r.envelope().away > 0));
+        let wholes = records.iter().map(|r| async_io::block_on(r.whole()).expect("read").tenant);
+        let tenants: Vec<_> = records.iter().map(|r| r.envelope().tenant).zip(wholes).collect();
+        assert_eq!(tenants, (0..20).map(|n| (tenant(n), tenant(n))).collect::<Vec<_>>());
     }
     let seen = raildeal::core::survey::survey(folder.path()).expect("read");
     assert_eq!(seen.messages.iter().map(|m| m.policy).max(), Some(1_900));
+    assert_eq!(seen.messages.iter().map(|m| m.tenant).max(), Some(NO_TENANT));
+}
+
+/// Nothing is replayed, nothing copied.
+struct Fresh;
+
+impl Items for Fresh {
+    fn snapshot(&self, _: u64, _: &mut dyn FnMut() -> io::Result<Vec<u8>>) -> io::Result<Vec<u8>> {
+        unreachable!("there is nothing to clean")
+    }
+}
+
+impl Replay for Fresh {
+    fn put(&mut self, _: u64, _: &[u8]) -> Result<(), String> {
+        Ok(())
+    }
+    fn note(&mut self, _: u64, _: &[u8]) -> Result<(), String> {
+        Ok(())
+    }
+    fn gone(&mut self, _: u64) {}
+    fn doubt(&mut self) {}
+    fn believe(&mut self, _: &[bool]) {}
+}
+
+/// Accounts as they were written before messages had a tenant: bare, with a policy behind them, and with a table behind that.
+#[test]
+fn a_folder_written_before_messages_had_a_tenant_is_read() {
+    #[derive(Serialize)]
+    struct Before {
+        envelope: Envelope,
+        taken_ms: u64,
+        expires_ms: u64,
+        attempts: u16,
+        ran: Option<Sent>,
+        out: Option<Sent>,
+        verdict: Option<Verdict>,
+    }
+    let folder = TempDir::new().expect("a folder");
+    let disk = Arc::new(Folder::new(folder.path()));
+    let options = Options { limit: ROOM, seed: 3, synced: false };
+    let mut log = Log::open(disk, options, None, &mut Fresh, |_, _| 0).expect("opened").log;
+    let behind: [&[u64]; 3] = [&[], &[300], &[0, 7]];
+    for (n, behind) in behind.iter().enumerate() {
+        let (taken_ms, expires_ms) = (unix_ms(), unix_ms() + 16_000);
+        let envelope = envelope(&format!("m{n}"), 50);
+        let before =
+            Before { envelope, taken_ms, expires_ms, attempts: 2, ran: None, out: None, verdict: None };
+        let bytes = postcard::to_stdvec(&before).expect("encodes");
+        let bytes = behind.iter().fold(bytes, |b, n| postcard::to_extend(n, b).expect("encodes"));
+        log.put(Duration::ZERO, &bytes, 1_000, &Fresh).0.expect("written");
+    }
+    drop(log);
+    let (_journal, records) = open(&folder, ROOM);
+    let read = records.iter().map(|r| r.account());
+    let read: Vec<_> = read.map(|a| ((*a.envelope).clone(), a.attempts, a.policy, a.table)).collect();
+    let was = |n, policy, table| (envelope(&format!("m{n}"), 50), 2, policy, table);
+    assert_eq!(read, [was(0, 0, 0), was(1, 300, 0), was(2, 0, 7)]);
 }
 
 /// The segment that is being written, and where its lines end.
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -835,6 +835,24 @@
     assert_eq!(next.first(), Some(&400));
 }
 
+/// Leaving its tenant out must win a message nothing over those that are within their shares.
+#[test]
+fn traffic_of_no_tenant_goes_last_where_there_are_tenants() {
+    let first_of = |none: u16, some: u16| {
+        let mut d = one();
+        let tells = |id| Event::Arrived(Message { tenant: none, ..d.message(id, 0, 1) });
+        let queue: Vec<Event> = (100..115).map(tells).collect();
+        d.give_all(&queue);
+        d.give(Event::Arrived(Message { tenant: some, ..d.message(400, 0, 1) }));
+        let out = d.end(*sends(&d.seen).first().expect("sent"), Outcome::Ok);
+        let mut next = sends(&out);
+        next.extend(sends(&d.pass(100 * MS)));
+        next.first().copied()
+    };
+    assert_eq!(first_of(NO_TENANT, 1), Some(400));
+    assert_ne!(first_of(NO_TENANT, NO_TENANT), Some(400), "none is within a share");
+}
+
 #[test]
 fn a_call_carries_several_messages_where_the_kind_allows() {
     let mut d = Driver::new(settings(), vec![line(1, 1, 1, Condition::Ready)]);
--- /dev/null
+++ b/tests/tenants.rs
@@ -0,0 +1,34 @@
+//! Whose message it is, by the name that it says and the tenants that the settings have.
+
+use raildeal::settings::{from_json, from_lines, UnknownTenant};
+use raildeal::NO_TENANT;
+use serde_json::json;
+
+#[test]
+fn a_name_is_a_tenant_s_place_in_the_settings_and_no_other_name_is() {
+    let nested = json!({"accounts": [{"name": "acme", "share": 0.3}, {"name": "Rede, Sul"}, {"share": 0.1}]});
+    let lines = b"accounts.count=3\naccounts.0.name=acme\naccounts.1.name=Rede__Sul\naccounts.2.share=0.1\n";
+    for deployment in [from_json(&nested), from_lines(lines)] {
+        let tenants = deployment.expect("usable").tenants;
+        assert_eq!(["acme", "Rede, Sul"].map(|name| tenants.of(Some(name))), [Ok(0), Ok(1)]);
+        assert_eq!(tenants.of(None), Ok(NO_TENANT));
+        for name in ["", "Acme", "acme2", "acm"] {
+            assert_eq!(tenants.of(Some(name)), Err(UnknownTenant), "{name}");
+        }
+    }
+}
+
+#[test]
+fn without_tenants_in_the_settings_every_message_is_the_first_one_s() {
+    for settings in [json!({}), json!({"accounts": []})] {
+        let tenants = from_json(&settings).expect("usable").tenants;
+        assert_eq!([None, Some("acme"), Some("")].map(|name| tenants.of(name)), [Ok(0); 3]);
+    }
+}
+
+#[test]
+fn two_tenants_of_one_name_are_refused_at_the_start() {
+    let nested = json!({"accounts": [{"name": "a b"}, {"name": "c"}, {"name": "a_b"}]});
+    let told = from_json(&nested).expect_err("two of one name");
+    assert_eq!(told, "setting accounts.2.name: 'a_b' is there twice");
+}
