Read X-Org at the door, and refuse what can't be read by a typed error with its status

The header `X-Org` (MQTT: the user property `org`) names the tenant as the settings do. A known name counts; none is taken on within nobody's share and counted as `messages without a tenant`; another, an empty or a second one is 400 and that connection's end (MQTT: 0x83). Without tenants in the settings the header is not looked at. No settings name headers, so its name stands in `ingress.rs` beside `X-Lane` and the others.

Found on the way: Content-Length beside Transfer-Encoding was told 411, as if it had no length, where RFC 9112 6.3 has it handled as an error: 400. Two `Host` headers were taken, which 3.2 of it refuses; a 405 had no `Allow`.

--- a/src/net/mqtt/ingress.rs
+++ b/src/net/mqtt/ingress.rs
@@ -7,16 +7,17 @@
 use crate::core::{is_word, span, Envelope, Local, MAX_BODY};
 use crate::door::lobby::Comes;
 use crate::door::places::Why;
-use crate::net::seats::{Seat, Serve};
+use crate::net::seats::{Seat, Serve, WITHOUT_TENANT};
 use crate::net::stream::{Stream, Writer};
-use crate::settings::Deployment;
+use crate::settings::{Deployment, Tenants};
+use crate::NO_TENANT;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::FutureExt;
 use mqtt_proto::v5::{
     Connack, ConnackProperties, Connect, ConnectReasonCode, Disconnect, DisconnectReasonCode, Packet, Puback,
-    PubackProperties, PubackReasonCode, Publish, Suback, Unsuback,
+    PubackProperties, PubackReasonCode, Publish, Suback, Unsuback, UserProperty,
 };
 use mqtt_proto::{Pid, QoS, QosPid};
 use std::cell::Cell;
@@ -41,6 +42,7 @@
     house: Rc<House>,
     sessions: Rc<Sessions>,
     classes: Vec<String>,
+    tenants: Tenants,
     front: u8,
     executor: Rc<LocalExecutor<'static>>,
     closing: Cell<bool>,
@@ -55,8 +57,8 @@
         front: u8,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
-        let classes = deployment.classes.clone();
-        Rc::new(Port { house, sessions, classes, front, executor, closing: Cell::new(false) })
+        let (classes, tenants) = (deployment.classes.clone(), deployment.tenants.clone());
+        Rc::new(Port { house, sessions, classes, tenants, front, executor, closing: Cell::new(false) })
     }
 
     /// Takes no further messages on.
@@ -139,6 +141,9 @@
         session.asks(true);
         match self.message(publish) {
             Ok((envelope, left)) => {
+                if envelope.tenant == NO_TENANT {
+                    session.counts(WITHOUT_TENANT);
+                }
                 self.executor
                     .spawn(invocation::serve(self.house.clone(), session.client(), envelope, left, answer))
                     .detach();
@@ -167,6 +172,8 @@
         let value = |name| property(&properties.user_properties, name).filter(|v| is_word(v));
         let id = value("id").ok_or(missing("user property id is missing"))?;
         let key = value("key").map(str::to_string);
+        let tenant = self.tenant(&properties.user_properties);
+        let tenant = tenant.ok_or(missing("user property org is no tenant's name"))?;
         if publish.payload.len() > MAX_BODY {
             return Err((PubackReasonCode::QuotaExceeded, "payload over 64 KiB"));
         }
@@ -179,8 +186,17 @@
         });
         let reply_to = reply_to.and_then(|r| postcard::to_stdvec(&r).ok()).unwrap_or_default();
         let (id, body, class) = (id.to_string(), publish.payload.to_vec(), class as u16);
-        let envelope =
-            Envelope { front: self.front, id, key, class, dest, reply_to, body, ..Envelope::default() };
+        let envelope = Envelope {
+            front: self.front,
+            id,
+            key,
+            class,
+            dest,
+            reply_to,
+            body,
+            tenant,
+            ..Envelope::default()
+        };
         if invocation::keyless(policy.class(class), &envelope) {
             return Err(missing("user property key is missing"));
         }
@@ -189,6 +205,14 @@
 }
 
 impl Port {
+    /// Whose message it is; nothing where it names a tenant that is not known, or two.
+    fn tenant(&self, properties: &[UserProperty]) -> Option<u16> {
+        let mut names = properties.iter().filter(|p| &*p.name == "org").map(|p| &*p.value);
+        let name = names.next();
+        let alone = self.tenants.is_empty() || names.next().is_none();
+        self.tenants.of(name).ok().filter(|_| alone)
+    }
+
     /// Whether a client names itself as one that is known.
     fn knows(&self, connect: &Connect) -> bool {
         let user = connect.username.as_ref().map(|u| u.to_string());
--- a/src/net/mqtt/sessions.rs
+++ b/src/net/mqtt/sessions.rs
@@ -68,6 +68,11 @@
 type Owed = Rc<RefCell<BTreeMap<String, usize>>>;
 
 impl Session {
+    /// Counts something that its client sent, as [`Seat::counts`] does.
+    pub fn counts(&self, what: &str) {
+        self.seat.counts(what);
+    }
+
     /// Tells its seat what it is used for. It is owed something while a PUBLISH of its own is unanswered, while an answer
     /// is out here, and while one is to come for a topic that it subscribed to.
     fn settle(&self) {
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -11,13 +11,56 @@
 /// Longest line of a chunked body that only tells a size.
 const MAX_CHUNK_LINE: usize = 1024;
 
-/// Input that breaks the protocol, with the status that says so.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bad(pub u16, pub &'static str);
+/// Input that breaks the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Bad {
+    /// No head of a request or an answer.
+    #[error("not HTTP")]
+    NotHttp,
+    /// A head of too many bytes or headers.
+    #[error("head too large")]
+    HeadTooLarge,
+    /// A header whose value is not UTF-8.
+    #[error("a header is not text")]
+    HeaderNotText,
+    /// A header that must stand alone does not.
+    #[error("a header stands there twice")]
+    HeaderTwice,
+    /// Content-Length is no number, or two of them differ.
+    #[error("Content-Length cannot be read")]
+    Length,
+    /// Content-Length and Transfer-Encoding in one request: who reads on might go by the other one (RFC 9112, 6.3).
+    #[error("Content-Length beside Transfer-Encoding")]
+    TwoLengths,
+    /// A request whose body has no length beforehand.
+    #[error("a body needs its length")]
+    NoLength,
+    /// A body that is longer than any may be.
+    #[error("body too long")]
+    BodyTooLong,
+    /// A chunked body that cannot be taken apart.
+    #[error("chunks cannot be read")]
+    Chunks,
+    /// Answers that only announce another one, without end.
+    #[error("answers announced without end")]
+    Announced,
+}
+
+impl Bad {
+    /// The status that says so to a client.
+    pub fn status(self) -> u16 {
+        match self {
+            Bad::NoLength => 411,
+            Bad::BodyTooLong => 413,
+            Bad::HeadTooLarge => 431,
+            _ => 400,
+        }
+    }
+}
 
 impl From<Bad> for io::Error {
     fn from(bad: Bad) -> Self {
-        io::Error::new(io::ErrorKind::InvalidData, bad.1)
+        io::Error::new(io::ErrorKind::InvalidData, bad)
     }
 }
 
@@ -28,7 +71,7 @@
 impl Headers {
     fn read(lines: &[httparse::Header<'_>]) -> Result<Self, Bad> {
         let read = |h: &httparse::Header<'_>| {
-            let value = std::str::from_utf8(h.value).map_err(|_| Bad(400, "a header is not text"))?;
+            let value = std::str::from_utf8(h.value).map_err(|_| Bad::HeaderNotText)?;
             Ok((h.name.to_ascii_lowercase(), value.trim().to_string()))
         };
         lines.iter().map(read).collect::<Result<_, _>>().map(Headers)
@@ -43,7 +86,7 @@
     pub fn only(&self, name: &str) -> Result<Option<&str>, Bad> {
         match self.0.iter().filter(|(n, _)| n == name).count() {
             0 | 1 => Ok(self.get(name)),
-            _ => Err(Bad(400, "a header stands there twice")),
+            _ => Err(Bad::HeaderTwice),
         }
     }
 
@@ -57,10 +100,10 @@
         let Some(first) = lengths.next() else { return Ok(None) };
         let digits = !first.is_empty() && first.bytes().all(|b| b.is_ascii_digit());
         if !digits || lengths.any(|l| l != first) {
-            return Err(Bad(400, "content-length cannot be read"));
+            return Err(Bad::Length);
         }
         // All digits, so that only size can be wrong.
-        first.parse().map(Some).map_err(|_| Bad(413, "body too long"))
+        first.parse().map(Some).map_err(|_| Bad::BodyTooLong)
     }
 }
 
@@ -116,12 +159,14 @@
     let mut head = httparse::Request::new(&mut lines);
     let Some(len) = whole(head.parse(bytes), bytes.len())? else { return Ok(None) };
     let headers = Headers::read(head.headers)?;
+    headers.only("host")?;
+    let length = headers.length()?;
     if headers.get("transfer-encoding").is_some() {
-        return Err(Bad(411, "a body needs its length"));
+        return Err(length.map_or(Bad::NoLength, |_| Bad::TwoLengths));
     }
-    let length = headers.length()?.unwrap_or(0);
+    let length = length.unwrap_or(0);
     if length > MAX_BODY {
-        return Err(Bad(413, "body too long"));
+        return Err(Bad::BodyTooLong);
     }
     let old = head.version == Some(0);
     let keep_alive = !headers.says("connection", "close") && !old;
@@ -169,8 +214,8 @@
     match parsed {
         Ok(httparse::Status::Complete(len)) if len <= MAX_HEAD => Ok(Some(len)),
         Ok(httparse::Status::Partial) if read < MAX_HEAD => Ok(None),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Bad(431, "head too long")),
-        Err(_) => Err(Bad(400, "not HTTP")),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Bad::HeadTooLarge),
+        Err(_) => Err(Bad::NotHttp),
     }
 }
 
@@ -211,14 +256,14 @@
                 Chunk::Size | Chunk::After | Chunk::Trailer => {
                     let Some(line) = take_line(from) else {
                         let long = from.len() > MAX_CHUNK_LINE;
-                        return if long { Err(Bad(400, "chunk line too long")) } else { Ok(false) };
+                        return if long { Err(Bad::Chunks) } else { Ok(false) };
                     };
                     match self.state {
                         Chunk::After if line.is_empty() => Chunk::Size,
-                        Chunk::After => return Err(Bad(400, "chunk longer than told")),
+                        Chunk::After => return Err(Bad::Chunks),
                         Chunk::Trailer if line.is_empty() => Chunk::Done,
                         Chunk::Trailer => Chunk::Trailer,
-                        _ => match chunk_size(&line).ok_or(Bad(400, "chunk size cannot be read"))? {
+                        _ => match chunk_size(&line).ok_or(Bad::Chunks)? {
                             0 => Chunk::Trailer,
                             n => Chunk::Data(n),
                         },
@@ -267,7 +312,7 @@
             return Ok(response);
         }
     }
-    Err(Bad(400, "answers announced without end").into())
+    Err(Bad::Announced.into())
 }
 
 /// Reads the body of an answer off a connection, up to `most` bytes.
@@ -290,7 +335,7 @@
             return Ok(got);
         }
         if got.len() > most {
-            return Err(Bad(413, "body too long").into());
+            return Err(Bad::BodyTooLong.into());
         }
         if !stream.fill().await? {
             return if body == Body::ToEnd { Ok(got) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -6,9 +6,10 @@
 use crate::core::{is_word, Envelope, Local};
 use crate::door::lobby::Comes;
 use crate::door::places::Why;
-use crate::net::seats::{Seat, Serve};
+use crate::net::seats::{Seat, Serve, WITHOUT_TENANT};
 use crate::net::stream::Stream;
-use crate::settings::Deployment;
+use crate::settings::{Deployment, Tenants, UnknownTenant};
+use crate::NO_TENANT;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -27,10 +28,61 @@
 const STUCK: Duration = Duration::from_secs(1);
 /// How long a client that broke the protocol may go on sending before its connection is closed.
 const PARTING: Duration = Duration::from_secs(2);
+
+/// A request that is answered with an error and ends its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum Refusal {
+    #[error(transparent)]
+    Http(#[from] Bad),
+    #[error("too slow")]
+    Slow,
+    #[error("no such page")]
+    NoPage,
+    #[error("messages are handed in by POST")]
+    NoPost,
+    #[error("no such class")]
+    UnknownClass,
+    #[error("X-Lane is not the path's class")]
+    OtherClass,
+    #[error(transparent)]
+    UnknownTenant(#[from] UnknownTenant),
+    #[error("X-Txn is no id")]
+    Id,
+    #[error("X-Remaining cannot be read")]
+    Remaining,
+    #[error("X-Addressing names no dest")]
+    Destination,
+    #[error("Idempotency-Key is no key")]
+    Key,
+    #[error("Idempotency-Key is missing")]
+    NoKey,
+}
+
+impl Refusal {
+    fn status(self) -> u16 {
+        match self {
+            Refusal::Http(bad) => bad.status(),
+            Refusal::Slow => 408,
+            Refusal::NoPage | Refusal::UnknownClass => 404,
+            Refusal::NoPost => 405,
+            _ => 400,
+        }
+    }
+
+    /// Headers that belong to the status.
+    fn headers(self) -> &'static str {
+        match self {
+            Refusal::NoPost => "Allow: POST\r\n",
+            _ => "",
+        }
+    }
+}
+
 /// The port for clients.
 pub struct Ingress {
     house: Rc<House>,
     classes: Vec<String>,
+    tenants: Tenants,
     /// This front, as messages name it.
     front: u8,
     executor: Rc<LocalExecutor<'static>>,
@@ -50,6 +102,7 @@
         Rc::new(Ingress {
             house,
             classes: deployment.classes.clone(),
+            tenants: deployment.tenants.clone(),
             front,
             executor,
             ending: async_channel::bounded(1),
@@ -68,7 +121,7 @@
     }
 
     /// Reads one request; nothing where the connection ended before one began.
-    async fn read(&self, stream: &mut Stream, seat: &Seat) -> Result<Option<(Request, Vec<u8>)>, Bad> {
+    async fn read(&self, stream: &mut Stream, seat: &Seat) -> Result<Option<(Request, Vec<u8>)>, Refusal> {
         let whole = async {
             if stream.buf.is_empty() {
                 let more = async { stream.fill().await.unwrap_or(false) };
@@ -105,38 +158,42 @@
             seat.busy();
             Ok(Some((request, body)))
         };
-        self.house.wheel.limit(SLOW_REQUEST, whole).await.unwrap_or(Err(Bad(408, "too slow")))
+        self.house.wheel.limit(SLOW_REQUEST, whole).await.unwrap_or(Err(Refusal::Slow))
     }
 
     /// The message that a request hands in, with the time left; nothing for a question whether this sender is up.
-    fn message(&self, request: &Request, body: Vec<u8>) -> Result<Option<(Envelope, Duration)>, Bad> {
+    fn message(&self, request: &Request, body: Vec<u8>) -> Result<Option<(Envelope, Duration)>, Refusal> {
         let path = request.path.split('?').next().unwrap_or("");
         let class = path.strip_prefix('/').and_then(|p| p.split('/').next()).unwrap_or("");
         match request.method.as_str() {
             "GET" | "HEAD" if path == "/up" || path == "/alive" => return Ok(None),
             "POST" => {}
-            "GET" | "HEAD" => return Err(Bad(404, "no such page")),
-            _ => return Err(Bad(405, "messages are handed in by POST")),
+            "GET" | "HEAD" => return Err(Refusal::NoPage),
+            _ => return Err(Refusal::NoPost),
         }
         let header = |name| request.headers.only(name);
-        let known = self.classes.iter().position(|c| c == class).ok_or(Bad(404, "no such class"))?;
+        let known = self.classes.iter().position(|c| c == class).ok_or(Refusal::UnknownClass)?;
         if header("x-lane")?.is_some_and(|lane| lane != class) {
-            return Err(Bad(400, "X-Lane is not the path's class"));
+            return Err(Refusal::OtherClass);
         }
         let class = known;
-        let id = header("x-txn")?.filter(|id| is_word(id)).ok_or(Bad(400, "X-Txn is no id"))?;
+        // Whose message it is; without tenants in the settings nobody asks what the header says.
+        let tenant = if self.tenants.is_empty() { None } else { header("x-org")? };
+        let tenant = self.tenants.of(tenant)?;
+        let id = header("x-txn")?.filter(|id| is_word(id)).ok_or(Refusal::Id)?;
         let left = header("x-remaining")?.and_then(remaining);
-        let left = left.ok_or(Bad(400, "X-Remaining cannot be read"))?;
+        let left = left.ok_or(Refusal::Remaining)?;
         let dest = header("x-addressing")?.and_then(destination);
-        let dest = dest.ok_or(Bad(400, "X-Addressing names no dest"))?;
+        let dest = dest.ok_or(Refusal::Destination)?;
         let key = header("idempotency-key")?.map(str::to_string);
         if key.as_ref().is_some_and(|k| !is_word(k)) {
-            return Err(Bad(400, "Idempotency-Key is no key"));
+            return Err(Refusal::Key);
         }
         let (id, class) = (id.to_string(), class as u16);
-        let envelope = Envelope { front: self.front, id, key, class, dest, body, ..Envelope::default() };
+        let envelope =
+            Envelope { front: self.front, id, key, class, dest, body, tenant, ..Envelope::default() };
         if invocation::keyless(self.house.terms.current().class(class), &envelope) {
-            return Err(Bad(400, "Idempotency-Key is missing"));
+            return Err(Refusal::NoKey);
         }
         Ok(Some((envelope, left)))
     }
@@ -175,12 +232,14 @@
             let (message, keep) = match read {
                 Ok(Some(read)) => read,
                 Ok(None) => return,
-                Err(bad) => {
-                    log::debug!("ingress: {} {}", bad.0, bad.1);
+                Err(refusal) => {
+                    log::debug!("ingress: {} {refusal}", refusal.status());
+                    seat.counts(&format!("requests refused ({refusal})"));
                     // Whoever else wants its seat need not wait for it to leave.
                     seat.begun();
                     let told = async {
-                        let _ = stream.send(head(bad.0, "", false).as_bytes()).await;
+                        let _ =
+                            stream.send(head(refusal.status(), refusal.headers(), false).as_bytes()).await;
                         stream.part().await;
                     };
                     self.house.wheel.limit(PARTING, told).await;
@@ -191,6 +250,9 @@
             let answer = Answer { stream, keep, back: sender, wheel: self.house.wheel.clone() };
             match message {
                 Some((envelope, left)) => {
+                    if envelope.tenant == NO_TENANT {
+                        seat.counts(WITHOUT_TENANT);
+                    }
                     let work = invocation::serve(
                         self.house.clone(),
                         client.clone(),
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -122,6 +122,9 @@
     }
 }
 
+/// What is counted of a message that names no tenant where the settings have some.
+pub const WITHOUT_TENANT: &str = "messages without a tenant";
+
 /// One connection's place; dropped, it is free again.
 pub struct Seat {
     seats: Rc<Seats>,
@@ -161,6 +164,12 @@
         let _ = self.left.recv().await;
     }
 
+    /// Counts something that came over it, for the line that the log gets now and then. Only for words that are known beforehand: each
+    /// has its count for as long as the process lives.
+    pub fn counts(&self, what: &str) {
+        self.seats.count(what.into());
+    }
+
     /// Who it is, by the address that it came from.
     pub fn client(&self) -> Client {
         let address = self.seats.places.borrow().address(self.no);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -17,6 +17,7 @@
 mod scenarios;
 mod spoilt;
 mod store;
+mod tenants;
 
 /// Runs the scenarios on one front.
 macro_rules! on_front {
