--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -394,6 +394,10 @@
     let began = Cell::new(false);
     // A connection may take its time to come up: what the module saw when it chose is looked at once more.
     let go = || {
+        if began.get() {
+            // Its connection broke before the first byte, and another one took time.
+            return allowed();
+        }
         if went.get() {
             began.set(allowed() && permit.begin());
         } else if allowed() && permit.begin() {
@@ -406,17 +410,17 @@
         }
         began.get()
     };
-    let report = house
-        .invoker
-        .call(InvokerCall { provider: provider.clone(), envelope: &body, timeout, go: &go })
-        .await;
+    let told_wait = |wait| house.directory.told_wait(&provider, Instant::now() + wait);
+    let to = provider.clone();
+    let call = InvokerCall { provider: to, envelope: &body, timeout, go: &go, told_wait: &told_wait };
+    let report = house.invoker.call(call).await;
     permit.ended(report.outcome);
     // It may have left while the call was out: nobody else would close the connection that was just given back.
     if house.directory.provider(endpoint).is_none_or(|p| p.entry.condition != Condition::Ready) {
         house.invoker.close_idle(&provider);
     }
     if let Outcome::Full { wait } = report.outcome {
-        house.directory.told_wait(&provider, Instant::now() + span(wait));
+        told_wait(span(wait));
     }
     if went.get() {
         // A delivery ran, too: a process that ends before the verdict is written must not send it to another zone.
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -161,7 +161,10 @@
         None => Body::ToEnd,
     };
     let old = head.version == Some(0);
-    let keep_alive = body != Body::ToEnd && !headers.says("connection", "close") && !old;
+    // Told in two ways, or in one that is not known, the end of the body may be read elsewhere than it was meant.
+    let coded = headers.get("transfer-encoding").is_some();
+    let clear = body != Body::ToEnd && !(coded && (body != Body::Chunked || headers.length()?.is_some()));
+    let keep_alive = clear && !headers.says("connection", "close") && !old;
     Ok(Some((Response { status, headers, body, keep_alive }, len)))
 }
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -71,6 +71,14 @@
         }
     }
 
+    /// Whether the other side has ended the connection, with nothing left to be read.
+    pub fn has_ended(&self) -> bool {
+        match self.socket.get_ref().peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Whether an idle connection can be used: still open, and with nothing on it that nobody asked for.
     pub fn is_quiet(&self) -> bool {
         let unread = self.socket.get_ref().peek(&mut [0]);
