Call no endpoint at an address that is listed no more

A uid that is listed at another address keeps the module's name. A connection that was coming up, or out with a call, to the address before was asked only for that name: it carried a call (`allowed` in src/core/invocation.rs), or was kept under the name after its call and carried the next ones. Both look at the address now, and a connection to the old one is closed as its call ends. Ruled out: idle connections, which `Directory::take` names as left.

It is cut to the time that the message has.

--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -373,8 +373,14 @@
     };
     let Some(permit) = house.desk.permit(&provider) else { return Outcome::Moot.into() };
     let went = Cell::new(false);
+    // What is known under this name may have left, or listen elsewhere by now.
+    let stands = || {
+        let now = house.directory.provider(endpoint);
+        now.is_some_and(|p| p.entry.condition == Condition::Ready && p.entry.address == provider.entry.address)
+    };
     let allowed = || {
-        house.directory.admits(endpoint, Instant::now())
+        stands()
+            && house.directory.admits(endpoint, Instant::now())
             && Instant::now() < deadline
             && !house.desk.is_blind()
             && house.tables.leads(envelope.dest, envelope.class, provider.zone)
@@ -411,12 +417,12 @@
         began.get()
     };
     let told_wait = |wait| house.directory.told_wait(&provider, Instant::now() + wait);
-    let to = provider.clone();
-    let call = InvokerCall { provider: to, envelope: &body, timeout, go: &go, told_wait: &told_wait };
+    let (to, time) = (provider.clone(), timeout.min(deadline.saturating_duration_since(Instant::now())));
+    let call = InvokerCall { provider: to, envelope: &body, timeout: time, go: &go, told_wait: &told_wait };
     let report = house.invoker.call(call).await;
     permit.ended(report.outcome);
     // It may have left while the call was out: nobody else would close the connection that was just given back.
-    if house.directory.provider(endpoint).is_none_or(|p| p.entry.condition != Condition::Ready) {
+    if !stands() {
         house.invoker.close_idle(&provider);
     }
     if let Outcome::Full { wait } = report.outcome {
--- a/tests/sockets/endpoint_crossings.rs
+++ b/tests/sockets/endpoint_crossings.rs
@@ -210,6 +210,41 @@
     rig.finish(&["m1"]);
 }
 
+#[test]
+fn an_endpoint_listed_at_another_address_is_not_called_at_the_one_before() {
+    let mut rig = Rig::<Http>::start(&[]);
+    let before = Endpoint::listed(&mut rig, "p", "a");
+    rig.take_on(&message("m1"));
+    let mut side = before.accept();
+    assert_eq!(call(&mut side), "m1");
+    let after = Endpoint::listed(&mut rig, "p", "a");
+    side.write_all(OK).expect("written");
+    rig.program.says("m1: p Ok");
+    rig.take_on(&message("m2"));
+    let mut second = after.accept();
+    assert_eq!(call(&mut second), "m2");
+    second.write_all(OK).expect("written");
+    // It was not kept, either.
+    ended(side);
+    rig.finish(&["m1", "m2"]);
+}
+
+#[test]
+fn a_connection_to_an_address_that_is_listed_no_more_carries_no_call() {
+    let mut rig = Rig::<Http>::start(&[]);
+    let before = Endpoint::listed(&mut rig, "p", "a");
+    let _one = before.fill();
+    rig.take_on(&message("m1"));
+    before.asked_in_vain();
+    let after = Endpoint::listed(&mut rig, "p", "a");
+    drop(before.accept());
+    ended(before.accept());
+    let mut side = after.accept();
+    assert_eq!(call(&mut side), "m1");
+    side.write_all(OK).expect("written");
+    rig.finish(&["m1"]);
+}
+
 /// Answers that are written from just before the end of a message's time to just after it: each message has one end, the
 /// one that the program took note of, and none is late.
 #[test]
