Spread asks after a planned end by what the directory's line bears, not by a told share

After a planned end a sender thinks that no more ask with it than the directory's line bears in one moment (2.9 s of asks, 52 of 55 ms) and asks within half of that, 1.5 s. An ask that fails in the line shows that there are more; the next one waits until the line is through and is spread over all, as before. After a kill, and after a move (SIGHUP comes to all at once), it is spread over all.

Looked at and ruled out: an early first ask by lot after a kill. The room that the line leaves for early asks is spent already, on a span of 14.6 s in place of 16.5 s for 300; early asks beyond it would fail where all were killed. A quicker way back where all of 300 restart planned: the 240 asks that fail are worked off all the same (13 s), so no second ask is of use sooner.

The test of the share's bounds is replaced by one that the share is no setting and no variable of the deployment; it fails with the old deploy file.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -124,7 +124,7 @@
         /// The directory is down from the start on for so many seconds.
         #[arg(long, default_value_t = 0)]
         down_s: u64,
-        /// The share of all senders that the program is told that a planned restart takes at once, and that `roll` ends at once.
+        /// The share of all senders that `roll` ends at once.
         #[arg(long, default_value_t = 1.0)]
         together: f64,
         /// All is left alone for so many seconds before anything ends.
@@ -541,7 +541,6 @@
             let plan = cold_start::Plan {
                 of_ten,
                 batches,
-                together,
                 ends: ends.unwrap_or(usual),
                 ask: Duration::from_millis(ask_ms),
                 calm: Duration::from_secs(calm_s),
--- a/rig/src/calm.rs
+++ b/rig/src/calm.rs
@@ -141,7 +141,7 @@
     stage.deadline = LEFT;
     let (record, directory) = (stage.record.clone(), &stage.directory);
     let Plan { program, seed, senders, .. } = plan;
-    let told = Told { program, seed: *seed, balancers: *senders, together: 1.0, rare: false };
+    let told = Told { program, seed: *seed, balancers: *senders, rare: false };
     let fleet = (0..*senders).map(|n| stage.sender(&told, n, directory.address));
     let mut fleet = fleet.collect::<Result<Vec<_>, _>>()?;
     fleet.iter_mut().try_for_each(|s| s.spawn())?;
--- a/rig/src/cold_start.rs
+++ b/rig/src/cold_start.rs
@@ -41,8 +41,6 @@
     pub batches: usize,
     /// How they end.
     pub ends: Ends,
-    /// The share of all senders that the program is told that a planned restart takes at once.
-    pub together: f64,
     /// Those that ended end once more while they take up what they held.
     pub twice: bool,
     /// One of those that come back stands still for so long from its start on, as a machine that is stopped.
@@ -211,8 +209,8 @@
     let stage = Stage::set(plan.endpoints, Duration::from_millis(50), plan.ask, |n| n % 3 == 0)?;
     let Stage { record, directory, .. } = &stage;
     directory.down(!plan.down.is_zero());
-    let Plan { program, seed, balancers, together, .. } = plan;
-    let told = Told { program, seed: *seed, balancers: *balancers, together: *together, rare: false };
+    let Plan { program, seed, balancers, .. } = plan;
+    let told = Told { program, seed: *seed, balancers: *balancers, rare: false };
     let senders = (0..plan.senders).map(|n| stage.sender(&told, n, directory.address));
     let senders = senders.collect::<Result<Vec<_>, _>>()?;
     let random = fastrand::Rng::with_seed(plan.seed);
@@ -255,7 +253,6 @@
         of_ten: 7,
         batches: 1,
         ends: Ends::Killed,
-        together: 1.0,
         twice: false,
         stopped: Duration::ZERO,
         calm: Duration::ZERO,
--- a/rig/src/federated.rs
+++ b/rig/src/federated.rs
@@ -224,7 +224,6 @@
             lasts_s: self.calm_s + if self.faults { 180.0 } else { 90.0 },
             until_well: false,
             kept: Kept::True,
-            together: 1.0,
             wanted: Wanted::default(),
             policies: Policies {
                 rare: RARE_PART,
--- a/rig/src/policy.rs
+++ b/rig/src/policy.rs
@@ -482,7 +482,6 @@
             lasts_s: self.calm_s + most,
             until_well: false,
             kept: Kept::True,
-            together: 1.0,
             wanted: Wanted::default(),
             policies: Policies {
                 rare: if self.worse == Some(Worse::Class) { RARE_PART } else { 0.0 },
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -64,9 +64,6 @@
     /// What the kept lists name.
     #[serde(default)]
     pub kept: Kept,
-    /// The share of all senders that restarts together, as the program is told.
-    #[serde(default = "all")]
-    pub together: f64,
     /// What has to come out of it.
     #[serde(default)]
     pub wanted: Wanted,
@@ -221,10 +218,6 @@
     50
 }
 
-fn all() -> f64 {
-    1.0
-}
-
 /// A file that cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum NoScenario {
@@ -280,7 +273,6 @@
             ("fleet.spare", keepers <= 9, "9 keepers in all"),
             ("rate", self.rate > 0.0 && self.rate <= 10_000.0, "above 0, at most 10000"),
             ("lasts_s", is_span(self.lasts_s), "0 to 3600"),
-            ("together", self.together > 0.0 && self.together <= 1.0, "above 0, at most 1"),
             ("wanted.delivered", (0.0..=1.0).contains(&self.wanted.delivered), "0 to 1"),
         ];
         let one = all.into_iter().find(|(_, good, _)| !good);
--- a/rig/src/scenario/drawn.rs
+++ b/rig/src/scenario/drawn.rs
@@ -1,6 +1,6 @@
 //! A schedule of which all is drawn.
 
-use super::{all, ask_ms, endpoints, zones, Deed, Kept, Scenario, Step, Wanted, Who};
+use super::{ask_ms, endpoints, zones, Deed, Kept, Scenario, Step, Wanted, Who};
 use crate::limits::Terms;
 use crate::policy::Policies;
 use crate::relay::{Break, Breaks, Fault};
@@ -101,7 +101,6 @@
             lasts_s: CALM_FROM + 3.0,
             until_well: false,
             kept: *random.choice([Kept::True, Kept::ThirdGone, Kept::Gone].iter()).unwrap_or(&Kept::True),
-            together: if random.bool() { all() } else { 0.1 },
             wanted: Wanted { delivered: 0.5, ..Wanted::default() },
             policies: Policies::default(),
             steps,
--- a/rig/src/scenario/play.rs
+++ b/rig/src/scenario/play.rs
@@ -665,7 +665,7 @@
     let record = &stage.record;
     let balancers = scenario.balancers.unwrap_or(scenario.senders);
     let policies = &scenario.policies;
-    let told = Told { program, seed, balancers, together: scenario.together, rare: policies.rare > 0.0 };
+    let told = Told { program, seed, balancers, rare: policies.rare > 0.0 };
     let (mut senders, mut lines) = (Vec::new(), Vec::new());
     let (mut sites, lead) = (Vec::new(), Arc::<Mutex<(u64, String)>>::default());
     for (s, site) in places.iter().enumerate() {
--- a/rig/src/sender.rs
+++ b/rig/src/sender.rs
@@ -41,7 +41,6 @@
     pub name: String,
     program: PathBuf,
     folder: TempDir,
-    together: f64,
     child: Option<Child>,
     log: Arc<Log>,
     config: Value,
@@ -79,12 +78,11 @@
 }
 
 impl Sender {
-    /// One that is told this configuration and what share of all senders restarts together, with a folder of its own; it is not
-    /// started yet.
+    /// One that is told this configuration, with a folder of its own; it is not started yet.
     ///
     /// # Errors
     /// The folder cannot be written.
-    pub fn new(program: &Path, name: String, mut config: Value, together: f64) -> Result<Sender, NoSender> {
+    pub fn new(program: &Path, name: String, mut config: Value) -> Result<Sender, NoSender> {
         let failed = |e| NoSender::Io(program.to_path_buf(), e);
         let folder = TempDir::new().map_err(failed)?;
         std::fs::create_dir(folder.path().join("state")).map_err(failed)?;
@@ -93,7 +91,6 @@
             name,
             program: program.to_path_buf(),
             folder,
-            together,
             child: None,
             log: Arc::default(),
             config,
@@ -141,7 +138,6 @@
             .envs(fleet)
             .env("NODE_CONFIG", self.folder.path().join("config.json"))
             .env("NODE_STATE", self.folder.path().join("state"))
-            .env("RAILDEAL_RESTARTS_TOGETHER", self.together.to_string())
             .env("RUST_LOG", if self.in_fleet { LOGS } else { "info" })
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
@@ -225,7 +221,7 @@
             "state": folder.join("state"),
             "limits": {"sockets": told["limits"]["sockets"], "disk_mb": told["limits"]["disk_mb"].as_f64()},
             "hook": {"script": folder.join(OWN[1])},
-            "platform": {"listen": told["listen"], "discovery": told["discovery"], "restarts_together": self.together},
+            "platform": {"listen": told["listen"], "discovery": told["discovery"]},
             "settings": told["settings"],
         });
         toml::to_string(&file)
--- a/rig/src/stage.rs
+++ b/rig/src/stage.rs
@@ -66,8 +66,6 @@
     pub seed: u64,
     /// How many senders the settings say that there are.
     pub balancers: usize,
-    /// The share of them that restarts together.
-    pub together: f64,
     /// Whether it knows a second class, which is rare.
     pub rare: bool,
 }
@@ -125,7 +123,7 @@
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
             "known": {"rev": 1, "all": true, "targets": self.kept},
             "settings": settings(told, &self.ground, self.deadline)});
-        Sender::new(told.program, format!("n{n}"), config, told.together)
+        Sender::new(told.program, format!("n{n}"), config)
     }
 }
 
--- a/rig/src/steps.rs
+++ b/rig/src/steps.rs
@@ -582,7 +582,6 @@
             lasts_s: if self == Scene::Tables { 2.0 * LASTS } else { LASTS },
             until_well: !matches!(self, Scene::Rollout | Scene::Tables),
             kept: Kept::True,
-            together: 1.0,
             wanted: Wanted { delivered: DELIVERED, ..Wanted::default() },
             policies,
             steps,
--- a/rig/src/zone.rs
+++ b/rig/src/zone.rs
@@ -200,7 +200,6 @@
             lasts_s: self.calm_s + self.dead_s + self.after_s,
             until_well: false,
             kept: Kept::True,
-            together: 1.0,
             wanted: Wanted::default(),
             policies: Policies::default(),
             steps,
--- a/src/asking.rs
+++ b/src/asking.rs
@@ -54,6 +54,14 @@
     (all - spared).clamp(all / 2.0, all * 1.1)
 }
 
+/// How many asks of so many seconds each the directory's line bears in the same moment. A planned restart is thought to take no
+/// more senders than that until an ask has failed in the line: nothing tells how many it takes. A sender that restarts alone, or
+/// with a few, hardly waits; where all restart, those that the line does not bear have one failed ask each and are then spread
+/// over all.
+fn borne(cost: f64) -> u32 {
+    (LINE / cost) as u32
+}
+
 /// How long the answer to an ask is waited for, in seconds. One that stands in a long line is not given up early: it would be
 /// worked off all the same, and the next one stood behind it.
 pub fn patience(relays: u32) -> f64 {
@@ -70,9 +78,7 @@
 #[derive(Debug, Default)]
 pub struct Asking {
     relays: u32,
-    /// How many of them a planned restart, or a move of the directory, takes at once.
-    staggered: u32,
-    /// How many ask together with this one, until an ask has shown that there are more.
+    /// How many are thought to ask together with this one, until an ask has shown that there are more.
     together: u32,
     /// Longest time without an ask or a watch (0: no bound), by the settings.
     within: Time,
@@ -100,14 +106,10 @@
     /// A sender that starts at `now`. `draw` gives a number evenly from 0 to 1.
     pub fn start(now: Time, settings: &Settings, draw: impl FnOnce() -> f64) -> Self {
         let (relays, within, earlier) = (settings.relays, settings.ask_within, settings.earlier);
-        let staggered = match settings.staggered {
-            0 => relays,
-            some => some.min(relays),
-        };
-        let together = if earlier.planned { staggered } else { relays };
         let cost = earlier.cost.unwrap_or(COST);
+        let together = if earlier.planned { borne(cost).min(relays) } else { relays };
         let beat = settings.watch_beat;
-        let mut asking = Asking { relays, staggered, together, within, beat, cost, ..Asking::default() };
+        let mut asking = Asking { relays, together, within, beat, cost, ..Asking::default() };
         asking.next = Some(now + asking.spread(draw));
         asking.counts_from(now, 1);
         asking
@@ -115,7 +117,8 @@
 
     /// The directory is at another place from now on; whoever has a watch at the old one has lost it.
     pub fn moved(&mut self, now: Time, draw: impl FnOnce() -> f64) {
-        (self.together, self.watching, self.asked, self.failures) = (self.staggered, false, None, 0);
+        // All are told of it in the same moment.
+        (self.together, self.watching, self.asked, self.failures) = (self.relays, false, None, 0);
         self.next = Some(now + self.spread(draw));
         self.told_at = (self.within > 0).then(|| now + self.within.min(MOVED));
         // What the old place did not tell, the new one tells.
@@ -232,231 +235,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::measure::Random;
-    use crate::Earlier;
-
-    fn start(now: Time, relays: u32, ask_within: Time, draw: impl FnOnce() -> f64) -> Asking {
-        let settings = Settings { relays, ask_within, watch_beat: 2 * SEC, ..Settings::default() };
-        Asking::start(now, &settings, draw)
-    }
-
-    #[test]
-    fn few_ask_at_once_and_wait_longer_with_each_failure() {
-        let never = || unreachable!("few draw nothing");
-        let mut asking = start(SEC, 3, 10 * SEC, never);
-        let mut now = SEC;
-        for gap in [500, 1_000, 2_000, 4_000, 4_000] {
-            assert!(asking.due(now) && !asking.due(now), "once each");
-            asking.failed(now, never);
-            assert_eq!(asking.next(), Some(now + gap * crate::measure::MS));
-            now = asking.next().expect("due");
-        }
-        assert!(asking.due(now));
-        asking.heard(now);
-        assert_eq!(asking.next(), None);
-        asking.failed(now + SEC, never);
-        assert_eq!(asking.next(), Some(now + SEC + SEC / 2), "an answer ends the row of failures");
-    }
-
-    #[test]
-    fn asks_are_spread_over_the_time_that_all_need_less_what_may_stand_in_line() {
-        for (relays, most) in [(10, 0.3), (100, 3.0), (300, 14.5), (3_000, 172.0)] {
-            let mut random = Random::new(7);
-            let mut at: Vec<Time> =
-                (0..relays).map(|_| start(0, relays, 0, || random.draw()).next().expect("due")).collect();
-            at.sort();
-            let last = to_secs(*at.last().expect("one"));
-            assert!(last <= most && last > 0.7 * most, "{relays}: {last}");
-        }
-    }
-
-    #[test]
-    fn what_asks_cost_is_learned_and_bounded() {
-        let ask = |asking: &mut Asking, after: f64, answered: bool| {
-            let now = asking.next().expect("settled");
-            assert!(asking.due(now));
-            if answered {
-                asking.heard(now + secs(after));
-            }
-            asking.failed(now + secs(after), || 1.0);
-            to_secs(asking.next().expect("settled") - now)
-        };
-        let mut asking = start(0, 300, 0, || 0.5);
-        assert!(
-            (100.0..120.0).contains(&ask(&mut asking, 3.0, false)),
-            "a line too long is let go and made far less dense"
-        );
-        (0..20).for_each(|_| _ = ask(&mut asking, 3.0, false));
-        assert!(ask(&mut asking, 3.0, false) < 670.0);
-        assert!(ask(&mut asking, 0.010, true) < 3.0, "a quick directory needs less");
-        (0..20).for_each(|_| _ = ask(&mut asking, 0.0, true));
-        assert!(ask(&mut asking, 0.0, true) >= 0.5);
-    }
-
-    #[test]
-    fn a_planned_restart_waits_for_its_own_share_and_a_line_shows_that_more_ask() {
-        let start = |staggered, planned| {
-            let earlier = Earlier { planned, cost: None };
-            Asking::start(0, &Settings { relays: 300, staggered, earlier, ..Settings::default() }, || 1.0)
-        };
-        let first = |staggered, planned| to_secs(start(staggered, planned).next().expect("due"));
-        assert!(first(30, true) < 1.0 && first(5, true) == 0.0);
-        assert!(first(900, true) == first(0, true) && first(0, true) == first(30, false));
-        let mut asking = start(30, true);
-        let next = |asking: &mut Asking, failed_after: f64| {
-            let now = asking.next().expect("due");
-            assert!(asking.due(now));
-            asking.failed(now + secs(failed_after), || 1.0);
-            to_secs(asking.next().expect("due") - now)
-        };
-        assert!(next(&mut asking, 0.1) < 1.0, "nobody is there, which says nothing of a line");
-        // All that stood in line are let through, then all ask anew, at the cost that was thought.
-        assert!((30.0..35.0).contains(&next(&mut asking, 3.0)));
-        assert!(next(&mut asking, 3.0) > 80.0, "now they cost more");
-        // A lost watch may be everyone's.
-        let mut asking = start(30, true);
-        assert!(asking.due(SEC));
-        asking.heard(SEC + secs(COST));
-        asking.failed(2 * SEC, || 1.0);
-        assert!(to_secs(asking.next().expect("due")) > 10.0);
-    }
-
-    #[test]
-    fn a_move_is_asked_about_in_its_share_and_blinds_those_whose_turn_is_later_than_it_counts_as_told() {
-        let moved = |relays, staggered, part| {
-            let settings = Settings { relays, staggered, ask_within: 10 * SEC, ..Settings::default() };
-            let mut asking = Asking::start(0, &settings, || 0.0);
-            assert!(asking.due(0));
-            asking.heard(secs(COST));
-            asking.moved(SEC, || part);
-            asking
-        };
-        assert_eq!(moved(3, 0, 1.0).next(), Some(SEC), "few ask at once");
-        assert!(moved(300, 30, 1.0).next().is_some_and(|t| t < 2 * SEC));
-        let mut last = moved(300, 0, 1.0);
-        assert!(!last.blind(5 * SEC - 1) && last.blind(5 * SEC));
-        let next = last.next().expect("settled");
-        assert!((14.0..17.0).contains(&to_secs(next)) && last.due(next));
-        assert!(last.blind(next), "until it is answered");
-        last.failed(next + 3 * SEC, || 1.0);
-        assert!(!last.blind(next + 39 * SEC) && last.blind(next + 40 * SEC));
-    }
-
-    #[test]
-    fn a_directory_that_is_not_there_is_asked_in_the_same_row_again_and_again() {
-        let mut random = Random::new(7);
-        let mut all: Vec<Asking> = (0..300).map(|_| start(0, 300, 0, || random.draw())).collect();
-        let mut asks = vec![0; 60];
-        for ms in (0..60_000).step_by(10) {
-            let now = ms * crate::measure::MS;
-            for asking in &mut all {
-                if asking.due(now) {
-                    asks[ms as usize / 1_000] += 1;
-                    asking.failed(now, || unreachable!("nothing is drawn"));
-                }
-            }
-        }
-        assert!(asks.iter().all(|n| (8..35).contains(n)), "{asks:?}");
-    }
-
-    #[test]
-    fn a_list_counts_as_told_after_the_time_that_the_settings_say_and_four_times_it_after_a_failure() {
-        let mut asking = start(0, 300, 10 * SEC, || 0.9);
-        assert!(!asking.blind(10 * SEC - 1) && asking.blind(10 * SEC));
-        assert!(asking.due(14 * SEC) && asking.blind(15 * SEC), "too late");
-        asking.failed(17 * SEC, || 0.0);
-        assert!(!asking.blind(54 * SEC - 1) && asking.blind(54 * SEC));
-        let next = asking.next().expect("settled");
-        assert!(asking.due(next));
-        asking.heard(next + SEC);
-        for s in (1..900).step_by(2) {
-            assert!(!asking.blind(next + s * SEC), "a watch tells, also that there is nothing");
-            asking.heard(next + s * SEC);
-        }
-        asking.failed(next + 901 * SEC, || 1.0);
-        assert!(
-            !asking.blind(next + 909 * SEC - 1) && asking.blind(next + 909 * SEC),
-            "from its last word on"
-        );
-    }
-
-    #[test]
-    fn a_machine_that_stood_still_knows_nothing_until_it_hears_something() {
-        let mut asking = start(0, 3, 10 * SEC, || 0.0);
-        assert!(asking.due(0));
-        asking.heard(SEC);
-        assert!(!asking.blind(7 * SEC - 1) && asking.blind(7 * SEC), "the watch looks whole");
-        asking.heard(20 * SEC);
-        assert!(!asking.blind(20 * SEC), "it was");
-        let mut quick = start(0, 3, SEC, || 0.0);
-        assert!(quick.due(0));
-        quick.heard(SEC);
-        assert!(!quick.blind(4 * SEC) && quick.blind(5 * SEC), "a watch is not to say more than it does");
-        asking.failed(40 * SEC, || 0.0);
-        assert!(asking.blind(40 * SEC), "it ended meanwhile");
-        let next = asking.next().expect("settled");
-        assert!(asking.due(next) && asking.blind(next));
-        asking.heard(next + 1);
-        assert!(!asking.blind(next + 1));
-        let mut early = start(0, 300, 10 * SEC, || 0.5);
-        assert!(early.due(9 * SEC) && !early.blind(18 * SEC), "asking in time counts");
-        assert!(!start(0, 300, 0, || 1.0).blind(900 * SEC), "no bound is set");
-    }
-
-    #[test]
-    fn the_silence_of_a_watch_that_tells_changes_alone_says_nothing() {
-        let settings = Settings { relays: 3, ask_within: 10 * SEC, ..Settings::default() };
-        let mut asking = Asking::start(0, &settings, || 0.0);
-        assert!(asking.due(0));
-        asking.heard(SEC);
-        assert!(!asking.blind(900 * SEC), "nothing has changed");
-        asking.failed(900 * SEC, || 0.0);
-        assert!(
-            !asking.blind(910 * SEC - 1) && asking.blind(910 * SEC),
-            "from when it is known to have ended"
-        );
-    }
-
-    #[test]
-    fn what_a_silent_watch_or_ask_missed_counts_six_seconds_later_however_often_it_is_asked_again() {
-        let mut asking = start(0, 3, 10 * SEC, || 0.0);
-        assert!(asking.due(0));
-        asking.heard(SEC);
-        asking.failed(SEC + secs(3.5), || 0.0);
-        assert!(asking.due(5 * SEC));
-        assert!(!asking.blind(7 * SEC - 1) && asking.blind(7 * SEC), "from the last word of the watch");
-        asking.failed(9 * SEC, || 0.0);
-        let next = asking.next().expect("settled");
-        assert!(asking.due(next) && asking.blind(next), "no ask takes it back");
-        asking.heard(next + 1);
-        assert!(!asking.blind(next + 1), "the answer does");
-        let mut asked = start(0, 3, 10 * SEC, || 0.0);
-        assert!(asked.due(SEC));
-        asked.failed(5 * SEC, || 0.0);
-        assert!(!asked.blind(7 * SEC - 1) && asked.blind(7 * SEC), "from when it was asked");
-        let mut refused = start(0, 3, 10 * SEC, || 0.0);
-        assert!(refused.due(SEC));
-        refused.failed(4 * SEC - 1, || 0.0);
-        assert!(!refused.blind(41 * SEC - 1) && refused.blind(41 * SEC), "a no is a word");
-        let mut many = start(0, 60, 10 * SEC, || 0.0);
-        assert!(many.due(0));
-        many.failed(secs(3.5), || 1.0);
-        assert!(many.next().is_some_and(|t| t < 6 * SEC), "silence is no line");
-        refused.moved(41 * SEC, || 0.0);
-        assert!(!refused.blind(45 * SEC - 1) && refused.blind(45 * SEC));
-    }
-
-    #[test]
-    fn a_fleet_that_the_directory_cannot_bear_in_time_is_told_of() {
-        let of = |relays| start(0, relays, 10 * SEC, || 0.0);
-        assert_eq!(of(200).too_many(), None);
-        assert!(of(300)
-            .too_many()
-            .is_some_and(|told| told.contains("300 senders take the directory 14.6 s")));
-        assert_eq!((patience(3), patience(100), patience(3_000)), (3.5, 5.5, 6.0));
-    }
-}
--- a/src/config.rs
+++ b/src/config.rs
@@ -30,9 +30,6 @@
 /// How long a final answer waits for its client, if the operator says nothing.
 const KEEP_ANSWERS_S: u64 = 600;
 
-/// What tells [`Platform::restarts_together`] where the platform's own form has no word for it.
-const RESTARTS_TOGETHER: &str = "RAILDEAL_RESTARTS_TOGETHER";
-
 /// The configuration.
 #[derive(Debug)]
 pub struct Config {
@@ -251,10 +248,6 @@
     pub listen: SocketAddr,
     /// The directory, which also takes notices.
     pub discovery: SocketAddr,
-    /// Share of all senders that a planned restart ends and starts at once, or that hears at once of a move of the directory; above
-    /// 0, at most 1. Less than 1 lets a sender ask for its list sooner then.
-    #[serde(default = "all")]
-    pub restarts_together: f64,
 }
 
 /// MQTT clients.
@@ -428,14 +421,6 @@
     KEEP_ANSWERS_S
 }
 
-fn is_share(share: &f64) -> bool {
-    *share > 0.0 && *share <= 1.0
-}
-
-fn all() -> f64 {
-    1.0
-}
-
 fn hmac_sha256() -> String {
     "hmac-sha256".into()
 }
@@ -480,14 +465,6 @@
             None => Ok(absent),
             Some(v) => v.as_f64().filter(|v| *v > 0.0).ok_or_else(|| format!("limits.{name}: '{v}'")),
         };
-        let restarts_together = match var(RESTARTS_TOGETHER) {
-            None => all(),
-            Some(text) => text
-                .parse()
-                .ok()
-                .filter(is_share)
-                .ok_or_else(|| format!("{RESTARTS_TOGETHER}: '{text}' is not above 0 and at most 1"))?,
-        };
         let known = json.get("known").filter(|k| !k.is_null());
         let known = known.map(|k| list::read(k.to_string().as_bytes())).transpose();
         let settings = json.get("settings").ok_or("settings: not set")?;
@@ -503,7 +480,6 @@
             platform: Some(Platform {
                 listen: address(word("NODE_LISTEN", "listen")?, "listen")?,
                 discovery: address(discovery, "discovery")?,
-                restarts_together,
             }),
             mqtt: None,
             brokers: None,
@@ -570,9 +546,6 @@
         if lists.iter().filter(|l| **l).count() != 1 {
             fault("platform, provider, dns", "one of them has to be the directory, and no more".into());
         }
-        if let Some(share) = self.platform.as_ref().map(|p| p.restarts_together).filter(|s| !is_share(s)) {
-            fault("platform.restarts_together", format!("{share} is not above 0 and at most 1"));
-        }
         if self.sockets < 16 {
             fault("limits.sockets", format!("{} are too few", self.sockets));
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,8 +135,6 @@
     pub kinds: Vec<Kind>,
     /// Relays that send to the same destinations, this one included.
     pub relays: u32,
-    /// Those that a planned restart, or a move of the directory, takes at once (0: all).
-    pub staggered: u32,
     /// What the process before this one knew.
     pub earlier: Earlier,
     /// Calls that may be out at once.
--- a/src/main.rs
+++ b/src/main.rs
@@ -356,9 +356,7 @@
     let directory = Rc::new(Directory::new(&deployment.zones, &deployment.kinds, &settings.kinds));
     let (journal, unfinished) = Journal::open(&config.state, Setup { seed: salt(), ..fleet.store(&config)? })
         .map_err(|e| format!("state: {}: {e}", config.state.display()))?;
-    let share = config.platform.as_ref().map_or(1.0, |p| p.restarts_together);
     settings.watch_beat = config.platform.as_ref().map_or(0, |_| BEAT.as_nanos() as u64);
-    settings.staggered = (f64::from(settings.relays) * share).ceil() as u32;
     settings.earlier = known_from_before(&config);
     let (tended, synced, ended) = (journal.clone(), journal.clone(), journal.clone());
     let budget = budget(&config);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -139,7 +139,6 @@
     let zone_fees =
         fees.collect::<Result<_, _>>().map_err(|e| format!("setting familyInfo.carriage: {e}"))?;
     let settings = Settings {
-        staggered: 0,
         earlier: Default::default(),
         zone_fees,
         classes,
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -570,10 +570,10 @@
         let (memory, after) = used();
         (memory, (after - before) / 4.0)
     };
-    let mut without = Sender::new(program, "n0".into(), config.clone(), 1.0).expect("a folder");
+    let mut without = Sender::new(program, "n0".into(), config.clone()).expect("a folder");
     let plain = cost(&mut without);
     without.kill();
-    let mut sender = Sender::new(program, "n0".into(), config, 1.0).expect("a folder");
+    let mut sender = Sender::new(program, "n0".into(), config).expect("a folder");
     sender.follows(&text).expect("written");
     let agent = cost(&mut sender);
     println!("idle, kB and part of a core: without an agent {plain:?}, with one {agent:?}");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,7 +22,6 @@
 /// Classes 0 pure, 1 token, 2 side effect, 3 in order; kinds 0 plain, 1 batching, 2 routes apart.
 pub fn settings() -> Settings {
     Settings {
-        staggered: 0,
         earlier: Default::default(),
         classes: vec![
             class(Effect::Pure),
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -39,16 +39,14 @@
 }
 
 #[test]
-fn a_share_of_restarts_that_cannot_be_used_is_named() {
-    let share = |to: &'static str| ("discovery = \"127.0.0.1:8500\"", to, "platform.restarts_together: ");
-    named(
-        "deploy/store.toml",
-        &[
-            share("discovery = \"127.0.0.1:8500\"\nrestarts_together = 0"),
-            share("discovery = \"127.0.0.1:8500\"\nrestarts_together = 1.1"),
-            share("discovery = \"127.0.0.1:8500\"\nrestarts_together = nan"),
-        ],
-    );
+fn what_share_restarts_together_is_no_setting_and_no_variable_of_the_deployment() {
+    let discovery = "discovery = \"127.0.0.1:8500\"";
+    let set = "discovery = \"127.0.0.1:8500\"\nrestarts_together = 0.1";
+    named("deploy/store.toml", &[(discovery, set, "unknown field `restarts_together`")]);
+    for file in ["deploy/balancer.toml", "deploy/trace.toml"] {
+        let text = std::fs::read_to_string(file).expect("text");
+        assert!(!text.contains("RAILDEAL_"), "{file}: {text}");
+    }
 }
 
 #[test]
--- a/tests/many/main.rs
+++ b/tests/many/main.rs
@@ -80,11 +80,11 @@
 }
 
 #[test]
-fn a_planned_restart_waits_for_its_share_only_and_one_after_a_kill_for_all() {
-    // Twelve of a fleet of a hundred: a start of all is spread over 3 s, one of a tenth over 0.3 s.
+fn a_planned_restart_waits_as_long_as_the_line_bears_and_one_after_a_kill_for_all() {
+    // Twelve of a fleet of three hundred: a start of all is spread over 8 to 15 s, a planned one over 1.5 s.
     let roll = |ends| {
         by(|p| {
-            (p.balancers, p.of_ten, p.ends, p.together) = (100, 10, ends, 0.1);
+            (p.balancers, p.of_ten, p.ends) = (300, 10, ends);
             p.after = Duration::from_millis(500);
         })
     };
@@ -93,10 +93,10 @@
 }
 
 #[test]
-fn restarts_of_more_than_the_share_that_is_told_wait_longer_and_lose_nothing() {
-    // All twelve come back at once and ask at once, where one at a time was told: 4.8 s of work for the directory.
+fn restarts_of_more_than_the_line_bears_wait_longer_and_lose_nothing() {
+    // All twelve come back at once and ask at once: 4.8 s of work for the directory.
     let played = by(|p| {
-        (p.of_ten, p.ends, p.together) = (10, Ends::Both, 0.1);
+        (p.of_ten, p.ends) = (10, Ends::Both);
         p.ask = Duration::from_millis(400);
     });
     assert!(played.back[0].asks <= 3 * SENDERS as u32, "{played:?}");
--- a/tests/many/standing.rs
+++ b/tests/many/standing.rs
@@ -81,7 +81,7 @@
                 "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
                 "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings()});
             let program = Path::new(env!("CARGO_BIN_EXE_raildeal"));
-            senders.push(Sender::new(program, name, config, 1.0).expect("a folder"));
+            senders.push(Sender::new(program, name, config).expect("a folder"));
             lines.push(line);
         }
         let mut fleet = Fleet { record, directory, partners, senders, _lines: lines, handed: 0 };
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -87,8 +87,7 @@
     );
     keeper.told().away = true;
     let program = Path::new(env!("CARGO_BIN_EXE_raildeal"));
-    let mut sender =
-        Sender::new(program, "n0".into(), config(lists.address, &targets), 1.0).expect("a folder");
+    let mut sender = Sender::new(program, "n0".into(), config(lists.address, &targets)).expect("a folder");
     sender.follows(&text).expect("written");
     sender.spawn().expect("started");
     sender.listens().expect("listens");
