Trust a held list for six seconds after a failed ask, whatever became of it

`Asking::failed` left the list 40 s (4 times `mustAskIn`) after an ask that failed in the directory's line, and counted what a silent ask missed from when it was asked and not from the last word before it.

Now an ask that stood in the line (1 s or more) or stayed silent shows that the directory was there: what changed since the last word (the start, a move, the watch's last line) counts 6 s after that, and only an answer ends it. One that failed at once shows that nobody was there; what is back later counts 6 s after that ask at the earliest, so a sender of few that is refused every 4 s goes on as long as discovery is down.

It costs most where all of 300 restart planned: those that fail in the line (about 240) call nobody until told, 30 s at the most in the model; of 90 about 13, 27 s. After a kill none fails and the longest is 7 s, as before.

Two tests that held 40 s after a failure hold 6 s now, the newer term: the one of the list's time, and the one of a sender whose asks fail in the line, which went on by its list and now calls nobody from 12 s on until it is told. `a no is a word` (41 s) became 6 s from the start, and that a second failure takes nothing back.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -26,14 +26,14 @@
 const DEARER: f64 = 3.0;
 /// What one of few waits after its first failure, and at most, in seconds; it doubles with each.
 const GAPS: (f64, f64) = (0.5, 4.0);
-/// How many times longer a list counts as true after an ask that failed than after none, by the settings' page.
+/// How many times longer a list counts as true after an ask that failed than after none, by the settings' page; [`COUNTS`] at most.
 const FAILED: Time = 4;
 /// What changes counts as told so long after a move of the directory, by the operators' page on new configurations.
 const MOVED: Time = 4 * SEC;
 /// A watch that has a beat tells within so many beats, whatever the settings say: the one that is silent for longer is given up.
 const WATCHED: Time = 2;
-/// What a watch, or an ask, that fell silent misses counts as told so long after that, by the operators' page.
-const SILENT: Time = 6 * SEC;
+/// What discovery has and could have told counts so long after that, whatever became of watches and asks, by the operators' page.
+const COUNTS: Time = 6 * SEC;
 /// A watch that ended so long after its next word was due had fallen silent: what holds a word up.
 const NO_WORD: Time = SEC;
 /// How long the answer to an ask is waited for, in seconds: least, and most where many ask. The directory gives up after 3 s and
@@ -98,8 +98,9 @@
     word: Time,
     /// From when on what has changed counts as told, though nobody told it.
     told_at: Option<Time>,
-    /// Since when a watch or an ask has said nothing. Asking again does not take back what it missed; only an answer does.
-    silent: Option<Time>,
+    /// Since when a watch or an ask that failed, though the directory was there, may have missed something. Asking again does not
+    /// take that back; only an answer does.
+    missing: Option<Time>,
 }
 
 impl Asking {
@@ -109,7 +110,7 @@
         let cost = earlier.cost.unwrap_or(COST);
         let together = if earlier.planned { borne(cost).min(relays) } else { relays };
         let beat = settings.watch_beat;
-        let mut asking = Asking { relays, together, within, beat, cost, ..Asking::default() };
+        let mut asking = Asking { relays, together, within, beat, cost, word: now, ..Asking::default() };
         asking.next = Some(now + asking.spread(draw));
         asking.counts_from(now, 1);
         asking
@@ -122,7 +123,7 @@
         self.next = Some(now + self.spread(draw));
         self.told_at = (self.within > 0).then(|| now + self.within.min(MOVED));
         // What the old place did not tell, the new one tells.
-        self.silent = None;
+        (self.word, self.missing) = (now, None);
     }
 
     /// A line for the log where the directory needs longer for all asks than the settings leave time for.
@@ -165,7 +166,7 @@
             let took = to_secs(now - asked);
             self.cost = self.cost.min(took).max(COSTS.0);
             (self.watching, self.next, self.failures) = (true, None, 0);
-            (self.told_at, self.silent) = (None, None);
+            (self.told_at, self.missing) = (None, None);
         }
     }
 
@@ -182,16 +183,18 @@
             // watch tells changes alone nothing says for how long.
             self.watching = false;
             self.together = self.relays;
-            self.counts_from(if self.beat > 0 { self.word } else { now }, 1);
-            self.fell_silent(self.word, self.beat > 0 && now >= self.word + self.beat + NO_WORD);
+            if self.beat == 0 {
+                self.word = now;
+            }
+            self.counts_from(self.word, 1);
+            self.misses(self.beat > 0 && now >= self.word + self.beat + NO_WORD);
             self.next = Some(now + gap + self.spread(draw));
             return;
         };
-        self.counts_from(asked, FAILED);
-        // One that ended before its time was refused or cut off, which is an answer.
-        let silent = to_secs(now - asked) >= patience(self.relays);
-        self.fell_silent(asked, silent);
-        if silent {
+        // One that failed at once shows that nobody is there, and what nobody could tell counts from then on at the earliest.
+        self.told_at = (self.within > 0).then(|| asked + COUNTS.min(FAILED * self.within));
+        self.misses(to_secs(now - asked) >= STOOD);
+        if to_secs(now - asked) >= patience(self.relays) {
             // Nothing is said of a line. It may be everyone's, and each second without an answer may be a blind one.
             self.together = self.relays;
             self.next = Some(now + gap + self.spread(draw));
@@ -209,9 +212,10 @@
         }
     }
 
-    fn fell_silent(&mut self, since: Time, silent: bool) {
-        if silent && self.within > 0 {
-            self.silent = Some(self.silent.map_or(since, |earlier| earlier.min(since)));
+    /// What has changed since the last word was not told, where the directory was there to tell it.
+    fn misses(&mut self, was_there: bool) {
+        if was_there && self.within > 0 {
+            self.missing = self.missing.or(Some(self.word));
         }
     }
 
@@ -226,11 +230,12 @@
         match self.watching {
             // Whatever stood still, this machine or the directory: a watch that has a beat is as good as its last word.
             true => {
-                let least = (WATCHED * self.beat).min(SILENT);
-                self.beat > 0 && self.within > 0 && now >= self.word + self.within.clamp(least, SILENT)
+                let least = (WATCHED * self.beat).min(COUNTS);
+                self.beat > 0 && self.within > 0 && now >= self.word + self.within.clamp(least, COUNTS)
             }
             false => {
-                self.told_at.is_some_and(|at| now >= at) || self.silent.is_some_and(|s| now >= s + SILENT)
+                self.told_at.is_some_and(|at| now >= at)
+                    || self.missing.is_some_and(|since| now >= since + COUNTS)
             }
         }
     }
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -121,7 +121,7 @@
         assert!((14.0..17.0).contains(&to_secs(next)) && last.due(next));
         assert!(last.blind(next), "until it is answered");
         last.failed(next + 3 * SEC, || 1.0);
-        assert!(!last.blind(next + 39 * SEC) && last.blind(next + 40 * SEC));
+        assert!(last.blind(next + 3 * SEC), "it stood in line, and the move is long ago");
     }
 }
 
@@ -143,12 +143,12 @@
 }
 
 #[test]
-fn a_list_counts_as_told_after_the_time_that_the_settings_say_and_four_times_it_after_a_failure() {
+fn a_list_counts_as_told_after_the_time_that_the_settings_say_and_six_seconds_after_a_failure() {
     let mut asking = start(0, 300, 10 * SEC, || 0.9);
     assert!(!asking.blind(10 * SEC - 1) && asking.blind(10 * SEC));
     assert!(asking.due(14 * SEC) && asking.blind(15 * SEC), "too late");
-    asking.failed(17 * SEC, || 0.0);
-    assert!(!asking.blind(54 * SEC - 1) && asking.blind(54 * SEC));
+    asking.failed(14 * SEC + SEC / 10, || 0.0);
+    assert!(!asking.blind(20 * SEC - 1) && asking.blind(20 * SEC), "nobody was there at 14 s");
     let next = asking.next().expect("settled");
     assert!(asking.due(next));
     asking.heard(next + SEC);
@@ -210,11 +210,25 @@
     let mut asked = start(0, 3, 10 * SEC, || 0.0);
     assert!(asked.due(SEC));
     asked.failed(5 * SEC, || 0.0);
-    assert!(!asked.blind(7 * SEC - 1) && asked.blind(7 * SEC), "from when it was asked");
+    assert!(!asked.blind(6 * SEC - 1) && asked.blind(6 * SEC), "what it had since the start");
+    // One that stood in line: it was there, and is no more trusted for failing again, at once or in the line.
     let mut refused = start(0, 3, 10 * SEC, || 0.0);
     assert!(refused.due(SEC));
     refused.failed(4 * SEC - 1, || 0.0);
-    assert!(!refused.blind(41 * SEC - 1) && refused.blind(41 * SEC), "a no is a word");
+    assert!(!refused.blind(6 * SEC - 1) && refused.blind(6 * SEC));
+    let next = refused.next().expect("settled");
+    assert!(refused.due(next));
+    refused.failed(next + 1, || 0.0);
+    assert!(!refused.blind(6 * SEC - 1) && refused.blind(6 * SEC));
+    // Nobody there: nothing counts sooner than six seconds after that, however long it lasts.
+    let mut down = start(0, 3, 10 * SEC, || 0.0);
+    let (mut last, mut now) = (0, 0);
+    while now < 60 * SEC {
+        assert!(!down.blind(now) && down.due(now), "{now}");
+        down.failed(now + 1, || 0.0);
+        (last, now) = (now, down.next().expect("settled"));
+    }
+    assert!(!down.blind(last + 6 * SEC - 1) && down.blind(last + 6 * SEC));
     let mut many = start(0, 60, 10 * SEC, || 0.0);
     assert!(many.due(0));
     many.failed(secs(3.5), || 1.0);
@@ -304,8 +318,8 @@
         (1, 300, [1.6, 1.6, 0.0, 0.0], [14.7, 14.7, 0.0, 4.7]),
         (3, 300, [1.7, 1.7, 0.0, 0.0], [14.8, 14.8, 0.0, 4.8]),
         (30, 300, [1.9, 2.2, 0.0, 0.0], [14.8, 15.0, 0.0, 5.0]),
-        (90, 300, [29.0, 34.0, 25.0, 0.0], [14.8, 15.0, 0.0, 5.0]),
-        (300, 300, [33.0, 35.0, 85.0, 0.0], [15.6, 17.4, 0.0, 7.4]),
+        (90, 300, [29.0, 34.0, 25.0, 29.0], [14.8, 15.0, 0.0, 5.0]),
+        (300, 300, [33.0, 35.0, 85.0, 30.0], [15.6, 17.4, 0.0, 7.4]),
     ];
     for (of, relays, planned, killed) in cases {
         for (is_planned, bounds) in [(true, planned), (false, killed)] {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -290,8 +290,8 @@
 }
 
 /// In which seconds after a start a sender of 300 calls, with a message a second, where its first ask comes at some time and the
-/// directory answers nothing until `silent`.
-fn calls_of_one(asks_after: bool, silent: Time) -> Vec<Time> {
+/// directory answers nothing until `silent`; and in which second it is told.
+fn calls_of_one(asks_after: bool, silent: Time) -> (Vec<Time>, Time) {
     let asks = Settings { relays: 300, ask_list: true, ask_within: 10 * SEC, slots: 50, ..settings() };
     let line = Listing { rate: 3_000.0, ..common::ready(1, 1) };
     let first_ask = |seed| {
@@ -303,11 +303,11 @@
     let mut d = common::Driver::new(asks.clone(), Vec::new());
     d.relay = Relay::new(asks.clone(), seed.expect("one of them")).expect("usable settings");
     d.give(Event::CachedList(vec![line]));
-    let (mut called, mut asked, mut watching) = (Vec::new(), None, false);
-    for second in 0..45 {
+    let (mut called, mut asked, mut watching) = (Vec::new(), None, None);
+    for second in 0..60 {
         let mut seen = d.arrive(second, 0, 1);
         // A watch says every 2 s that there is nothing.
-        if watching && second % 2 == 0 {
+        if watching.is_some() && second % 2 == 0 {
             seen.extend(d.give(Event::ListChanges(Vec::new())));
         }
         for _ in 0..10 {
@@ -319,7 +319,7 @@
             }
             if asked.is_some() && Time::from(second) * SEC >= silent {
                 seen.extend(d.give(Event::ListChanges(Vec::new())));
-                (asked, watching) = (None, true);
+                (asked, watching) = (None, Some(Time::from(second)));
             }
             seen.retain(|a| *a != Action::WatchList);
         }
@@ -327,22 +327,24 @@
         sent.iter().for_each(|id| drop(d.end(*id, Outcome::Ok)));
         called.extend((!sent.is_empty()).then_some(Time::from(second)));
     }
-    called
+    (called, watching.expect("told"))
 }
 
 #[test]
 fn one_that_has_not_asked_for_so_long_that_drains_count_as_told_calls_nobody_until_it_is_told() {
     // Its turn to ask comes after the 10 s that the settings leave: what the list says is not to be trusted in between.
     for silent in [5, 10, 30] {
-        let called = calls_of_one(true, silent * SEC);
+        let (called, told) = calls_of_one(true, silent * SEC);
         assert!((0..10).all(|s| called.contains(&s)), "{silent}: {called:?}");
         assert!(!called.contains(&10) && !called.contains(&11), "{silent}: {called:?}");
-        assert!((18..40).all(|s| called.contains(&s)), "{silent}: {called:?}");
+        assert!((told + 1..60).all(|s| called.contains(&s)), "{silent}: {called:?}");
     }
-    // One whose turn comes sooner goes on by the list, also while its asks fail.
-    for silent in [5, 10, 30] {
-        let called = calls_of_one(false, silent * SEC);
-        assert!((0..40).all(|s| called.contains(&s)), "{silent}: {called:?}");
+    // One whose turn comes sooner calls nobody either, once its ask has failed in the line and six seconds are over, until it is told.
+    for silent in [12, 20] {
+        let (called, told) = calls_of_one(false, silent * SEC);
+        assert!((0..6).all(|s| called.contains(&s)), "{silent}: {called:?}");
+        assert!(told > 12 && !(12..told).any(|s| called.contains(&s)), "{silent} {told}: {called:?}");
+        assert!((told + 1..60).all(|s| called.contains(&s)), "{silent}: {called:?}");
     }
 }
 
