Read lists in any form and pieces, and give answers up that are spoilt or never whole

Four faults of the watch (`Watch::follow`), each found by a scripted discovery on real sockets:

- A list that comes indented was never read: each line was taken for an object, the first one ended the watch, and it was asked again for ever.
Objects are now found by their brackets, in whatever pieces they come, and count with the last one (`list::Objects`).
- An answer that dribbles and never says anything whole was never given up: each byte counted as a sign of life.
What is said has to be whole by the ask's patience, and after that within 3.5 s of the last word.
- Empty lines without end at full speed kept the only thread: reading never waited, and each line was a turn of the module, so no client was answered.
Others have their turn after each read, and empty lines that come together are one word.
- Spoilt answers were logged as warnings at each ask.
They are told of as errors, every 10 s at the most, with how many were left out.
What comes whole before a spoilt chunk in the same read counts; it was dropped.

Each test of tests/sockets/lists.rs was seen failing without its part: the connection reset at the first line of the indented list, "told 0 times", "not asked again", no answer to a client. tests/lists.rs cuts a text at each pair of places.

Looked for and not found: a loop of the start that neither waits nor ends.

--- a/src/net/platform/list.rs
+++ b/src/net/platform/list.rs
@@ -1,4 +1,4 @@
-//! The platform's form of the directory's list.
+//! The platform's form of the directory's list, and where one object of it ends.
 
 use crate::core::directory::{Entry, News};
 use crate::Condition;
@@ -46,3 +46,86 @@
     });
     Ok(News { rev: hosts.rev, whole: hosts.all, entries: entries.collect() })
 }
+
+/// Longest object taken, in bytes.
+const MAX_OBJECT: usize = 4 << 20;
+
+/// What a watch brings that cannot be an object of the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Spoilt {
+    /// Text where an object should begin.
+    #[error("list: no object begins here")]
+    NoObject,
+    /// An object that is longer than any list.
+    #[error("list: an object without end")]
+    Endless,
+}
+
+/// What a watch said.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// An empty line: nothing has changed.
+    NoChange,
+    /// The text of one object, on one line or, indented, on several.
+    Object(Vec<u8>),
+}
+
+/// Finds the objects in the text of a watch, however it is cut into pieces. Each byte is looked at once.
+#[derive(Debug, Default)]
+pub struct Objects {
+    /// The object that has begun.
+    begun: Vec<u8>,
+    /// Brackets that are open in it.
+    depth: usize,
+    in_string: bool,
+    escaped: bool,
+    /// The rest of a line on which an object ended is no empty line.
+    after_object: bool,
+}
+
+impl Objects {
+    /// Takes from the front of `text` up to the end of what is said next; nothing, if that has not come whole.
+    pub fn next(&mut self, text: &mut Vec<u8>) -> Result<Option<Said>, Spoilt> {
+        let (mut said, mut taken) = (None, 0);
+        while said.is_none() && taken < text.len() {
+            said = self.byte(text[taken])?;
+            taken += 1;
+        }
+        text.drain(..taken);
+        Ok(said)
+    }
+
+    fn byte(&mut self, byte: u8) -> Result<Option<Said>, Spoilt> {
+        if self.depth > 0 {
+            return self.within(byte);
+        }
+        match byte {
+            b'\n' if std::mem::take(&mut self.after_object) => Ok(None),
+            b'\n' => Ok(Some(Said::NoChange)),
+            b'{' => self.within(byte),
+            _ if byte.is_ascii_whitespace() => Ok(None),
+            _ => Err(Spoilt::NoObject),
+        }
+    }
+
+    fn within(&mut self, byte: u8) -> Result<Option<Said>, Spoilt> {
+        if self.begun.len() >= MAX_OBJECT {
+            return Err(Spoilt::Endless);
+        }
+        self.begun.push(byte);
+        match byte {
+            _ if std::mem::take(&mut self.escaped) => {}
+            b'\\' => self.escaped = self.in_string,
+            b'"' => self.in_string = !self.in_string,
+            _ if self.in_string => {}
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' => self.depth -= 1,
+            _ => {}
+        }
+        if self.depth > 0 {
+            return Ok(None);
+        }
+        self.after_object = true;
+        Ok(Some(Said::Object(std::mem::take(&mut self.begun))))
+    }
+}
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -2,7 +2,7 @@
 
 use super::discovery::Discovery;
 use super::http::{self, Body, Chunks};
-use super::list;
+use super::list::{self, Objects, Said};
 use crate::core::desk::Desk;
 use crate::core::directory::Directory;
 use crate::core::earlier;
@@ -10,6 +10,7 @@
 use crate::core::wheel::Wheel;
 use crate::net::stream::Stream;
 use async_channel::Receiver;
+use futures_lite::future;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -19,8 +20,8 @@
 pub const BEAT: Duration = Duration::from_secs(2);
 /// A watch silent for this long is dead, though its connection may look open.
 const SILENCE: Duration = Duration::from_millis(3500);
-/// Longest line taken.
-const MAX_LINE: usize = 4 << 20;
+/// Answers that cannot be read are told of no more often than this.
+const TOLD_EVERY: Duration = Duration::from_secs(10);
 
 /// What a watch needs.
 pub struct Watch {
@@ -41,6 +42,7 @@
 impl Watch {
     /// Watches whenever asked to, until each watch ends or the directory moves.
     pub async fn run(&self, asked: Receiver<()>) {
+        let mut faults = Faults::default();
         loop {
             if self.discovery.while_there(asked.recv()).await.is_none() {
                 self.move_on();
@@ -50,7 +52,7 @@
             while asked.try_recv().is_ok() {}
             match self.discovery.while_there(self.follow()).await {
                 Some(ended) => {
-                    log::warn!("watch: {}", ended.map_or_else(|e| e.to_string(), |()| "ended".into()));
+                    faults.tell(ended);
                     self.desk.list_failed();
                 }
                 None => self.move_on(),
@@ -68,45 +70,58 @@
         let began = Instant::now();
         let opened = self.wheel.limit(self.patience, self.open()).await;
         let (mut stream, body) = opened.ok_or(io::ErrorKind::TimedOut)??;
-        let (mut text, mut chunks, mut answered) = (Vec::new(), Chunks::default(), false);
+        let (mut text, mut chunks, mut objects) = (Vec::new(), Chunks::default(), Objects::default());
+        // Bytes alone are no word: what is said has to be whole by then.
+        let (mut answered, mut due) = (false, began + self.patience);
         loop {
             let ended = match body {
-                Body::Chunked => chunks.take(&mut stream.buf, &mut text)?,
+                Body::Chunked => chunks.take(&mut stream.buf, &mut text),
                 Body::Length(_) | Body::ToEnd => {
                     text.append(&mut stream.buf);
-                    false
+                    Ok(false)
                 }
             };
-            while let Some(line) = http::take_line(&mut text) {
-                if line.trim_ascii().is_empty() {
-                    self.desk.list_heard();
-                } else {
-                    let news =
-                        list::read(&line).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
-                    self.desk.list(&news);
-                    if !answered {
-                        // It may be no newer than what is held, which is an answer too.
-                        self.desk.list_heard();
-                    }
-                }
+            if self.take(&mut objects, &mut text, answered)? {
                 // Not at its head: whoever waits for a word would call by the old list until the new one is read.
                 if !std::mem::replace(&mut answered, true) {
                     self.note(began.elapsed());
                 }
+                due = Instant::now() + SILENCE;
             }
-            if ended {
+            // What came before a fault counts.
+            if ended? {
                 return Ok(());
             }
-            if text.len() > MAX_LINE {
-                return Err(io::Error::new(io::ErrorKind::InvalidData, "a line without end"));
-            }
-            let more = self.wheel.limit(SILENCE, stream.fill()).await;
+            let left = due.saturating_duration_since(Instant::now());
+            let more = self.wheel.limit(left, stream.fill()).await;
             if !more.ok_or_else(|| io::Error::new(io::ErrorKind::TimedOut, "silent"))?? {
                 return Ok(());
             }
+            // However fast it comes, others have their turn.
+            future::yield_now().await;
         }
     }
 
+    /// Takes in what has come whole; whether anything has. Empty lines that come together are one word.
+    fn take(&self, objects: &mut Objects, text: &mut Vec<u8>, answered: bool) -> io::Result<bool> {
+        let (mut any, mut no_change) = (false, false);
+        while let Some(said) = objects.next(text).map_err(spoilt)? {
+            match said {
+                Said::NoChange => no_change = true,
+                Said::Object(object) => {
+                    self.desk.list(&list::read(&object).map_err(spoilt)?);
+                    // It may be no newer than what is held, which is an answer too.
+                    no_change |= !answered && !any;
+                }
+            }
+            any = true;
+        }
+        if no_change {
+            self.desk.list_heard();
+        }
+        Ok(any)
+    }
+
     /// An ask was answered after so long.
     fn note(&self, took: Duration) {
         log::debug!("watch: answered after {took:?}");
@@ -126,3 +141,31 @@
         }
     }
 }
+
+fn spoilt(e: impl ToString) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, e.to_string())
+}
+
+/// How watches ended, for the log.
+#[derive(Default)]
+struct Faults {
+    /// When an answer that could not be read was last told of.
+    told: Option<Instant>,
+    /// Such answers since then.
+    more: u32,
+}
+
+impl Faults {
+    fn tell(&mut self, ended: io::Result<()>) {
+        match ended {
+            Ok(()) => log::warn!("watch: ended"),
+            Err(e) if e.kind() != io::ErrorKind::InvalidData => log::warn!("watch: {e}"),
+            Err(_) if self.told.is_some_and(|at| at.elapsed() < TOLD_EVERY) => self.more += 1,
+            Err(e) => {
+                let more = std::mem::take(&mut self.more);
+                log::error!("watch: an answer that cannot be read: {e} ({more} more since the last line)");
+                self.told = Some(Instant::now());
+            }
+        }
+    }
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod held_log;
 mod hook_only;
 mod http;
+mod lists;
 mod long_day;
 mod mqtt;
 mod mqtt_only;
