Ask an agent of one's own at once, and call nobody before its first answer

Where lists are pushed (the settings' word for discovery is `automatic`), the address belongs to an agent on the sender's own machine: it answers at once and at no cost, and what it has counts as told from the first moment of a process. The program took each sender for one that asks a discovery shared by all: with 300 senders the first ask came after up to 14.6 s, and until it was answered the kept list was called by.

Settings::pushed tells the two apart. Then nothing is spread, and the list counts as too old from the start until the first answer, or until the ask has failed: an agent is silent while discovery is down. The clock for silence runs also where the settings give no time for asking.

Tests: tests/asking.rs, and `what_is_pushed_counts_from_the_first_moment_of_a_process` on real sockets.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -62,6 +62,15 @@
     (LINE / cost) as u32
 }
 
+/// Senders that ask where this one does, itself included.
+pub fn asking_with(settings: &Settings) -> u32 {
+    if settings.pushed {
+        1
+    } else {
+        settings.relays
+    }
+}
+
 /// How long the answer to an ask is waited for, in seconds. One that stands in a long line is not given up early: it would be
 /// worked off all the same, and the next one stood behind it.
 pub fn patience(relays: u32) -> f64 {
@@ -106,13 +115,17 @@
 impl Asking {
     /// A sender that starts at `now`. `draw` gives a number evenly from 0 to 1.
     pub fn start(now: Time, settings: &Settings, draw: impl FnOnce() -> f64) -> Self {
-        let (relays, within, earlier) = (settings.relays, settings.ask_within, settings.earlier);
+        let earlier = settings.earlier;
+        // The clock for silence runs also where the settings need no time for asking.
+        let within = if settings.pushed && settings.ask_within == 0 { COUNTS } else { settings.ask_within };
+        let relays = asking_with(settings);
         let cost = earlier.cost.unwrap_or(COST);
         let together = if earlier.planned { borne(cost).min(relays) } else { relays };
         let beat = settings.watch_beat;
         let mut asking = Asking { relays, together, within, beat, cost, word: now, ..Asking::default() };
         asking.next = Some(now + asking.spread(draw));
-        asking.counts_from(now, 1);
+        // What an agent has counts before it is asked: nobody is called until it has said what that is, or that it can't.
+        asking.counts_from(now, if settings.pushed { 0 } else { 1 });
         asking
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -151,6 +151,9 @@
     pub over_share_worth: f64,
     /// The list of endpoints must be asked for; it is not pushed.
     pub ask_list: bool,
+    /// An agent on the sender's own machine has it: it answers at once and no other sender, and what it has counts as told from the
+    /// first moment of a process.
+    pub pushed: bool,
     /// Longest time without asking for it: then its changes count as told (0: no bound).
     pub ask_within: Time,
     /// A watch says something at least this often, also where nothing changes (0: it tells changes alone, and its silence says
--- a/src/main.rs
+++ b/src/main.rs
@@ -415,7 +415,7 @@
         keep(&executor, sizes(house.clone(), invoker.clone(), notices, turns));
     }
     if let Some(discovery) = discovery.clone() {
-        let patience = Duration::from_secs_f64(asking::patience(settings.relays));
+        let patience = Duration::from_secs_f64(asking::patience(asking::asking_with(&settings)));
         let watch = Watch {
             discovery,
             desk: desk.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -156,6 +156,7 @@
         },
         over_share_worth: env.get("overShareWorth", 1.0)?,
         ask_list: env.word("discovery") == Some("subscribe"),
+        pushed: env.word("discovery") == Some("automatic"),
         ask_within: env.get("rules.mustAskIn", 0)?,
         watch_beat: 0,
         probes: env.get("limits.probes", false)?,
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -237,6 +237,23 @@
     assert!(!refused.blind(45 * SEC - 1) && refused.blind(45 * SEC));
 }
 
+#[test]
+fn an_agent_of_ones_own_is_asked_at_once_and_nobody_is_called_before_it_has_answered_or_failed() {
+    let settings = Settings { relays: 300, pushed: true, watch_beat: 2 * SEC, ..Settings::default() };
+    let never = || unreachable!("nothing is spread");
+    let mut asking = Asking::start(SEC, &settings, never);
+    assert!(asking.blind(SEC) && asking.due(SEC) && asking.blind(SEC));
+    asking.heard(SEC + MS);
+    assert!(!asking.blind(SEC + MS));
+    asking.moved(2 * SEC, never);
+    assert!(asking.due(2 * SEC) && !asking.blind(6 * SEC - 1));
+    // It is silent while discovery is down.
+    let mut silent = Asking::start(SEC, &settings, never);
+    assert!(silent.due(SEC));
+    silent.failed(SEC + secs(3.5), never);
+    assert!(!silent.blind(7 * SEC - 1) && silent.blind(7 * SEC));
+}
+
 #[test]
 fn a_fleet_that_the_directory_cannot_bear_in_time_is_told_of() {
     let of = |relays| start(0, relays, 10 * SEC, || 0.0);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -43,6 +43,7 @@
         decay: Decay::Halving,
         over_share_worth: 0.2,
         ask_list: false,
+        pushed: false,
         ask_within: 0,
         watch_beat: 2 * SEC,
         probes: false,
--- a/tests/sockets/lists.rs
+++ b/tests/sockets/lists.rs
@@ -51,6 +51,11 @@
 
 impl Play {
     fn start() -> Play {
+        Play::told("subscribe")
+    }
+
+    /// The same where the settings have this word for discovery.
+    fn told(word: &str) -> Play {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let discovery = listener.local_addr().expect("an address");
         let (sender, asks) = channel();
@@ -66,6 +71,7 @@
         let at = ["p", "q"].map(|uid| providers.start::<Http>(uid));
         let mut told = config(&folder, list(1, true, &[("p", at[0], "active")]));
         told["discovery"] = discovery.to_string().into();
+        told["settings"]["discovery"] = word.into();
         told["settings"]["rules"] = json!({"mustAskIn": 10_000_000_000u64});
         let started = Instant::now();
         let mut program = Program::spawn(&mut platform_command(&folder, &told));
@@ -222,3 +228,15 @@
     assert_eq!((call.provider.as_str(), call.message.id.as_str()), ("q", "late"));
     call.answer(Answer::Delivered);
 }
+
+#[test]
+fn what_is_pushed_counts_from_the_first_moment_of_a_process() {
+    let play = Play::told("automatic");
+    let mut ask = play.ask();
+    play.hand_in("m1");
+    assert!(play.providers.calls.recv_timeout(Duration::from_millis(500)).is_err(), "by the kept list");
+    ask.answer(&play.list(5, ["leaving", "active"]));
+    let call = play.call();
+    assert_eq!(call.provider, "q");
+    call.answer(Answer::Delivered);
+}
