--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -125,10 +125,26 @@
     }
     let old = head.version == Some(0);
     let keep_alive = !headers.says("connection", "close") && !old;
-    let (method, path) = (head.method.unwrap_or("").to_string(), head.path.unwrap_or("").to_string());
+    let (method, path) = (head.method.unwrap_or(""), origin_form(head.path.unwrap_or("")));
+    let (method, path) = (method.to_string(), path.to_string());
     Ok(Some((Request { method, path, headers, length, keep_alive }, len)))
 }
 
+/// The path of a request's target, where clients name scheme and host before it, too (RFC 9112, 3.2.2).
+fn origin_form(target: &str) -> &str {
+    let Some((scheme, rest)) = target.split_once("://") else { return target };
+    if !scheme.eq_ignore_ascii_case("http") && !scheme.eq_ignore_ascii_case("https") {
+        return target;
+    }
+    rest.find(['/', '?']).map_or("/", |at| &rest[at..])
+}
+
+/// Drops empty lines before a request: some clients end a body with one (RFC 9112, 2.2).
+pub fn skip_empty_lines(bytes: &mut Vec<u8>) {
+    let empty = bytes.iter().take_while(|b| b"\r\n".contains(b)).count();
+    bytes.drain(..empty);
+}
+
 /// The status that the first line of an answer says, whatever may follow it; nothing while that line is not whole, or
 /// where it says none.
 pub fn status(bytes: &[u8]) -> Option<u16> {
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -20,6 +20,8 @@
     deaf: usize,
     /// Open watches say nothing more, as when the machine is cut off.
     frozen: bool,
+    /// Connections are closed as they come.
+    down: bool,
 }
 
 pub struct Discovery {
@@ -42,6 +44,9 @@
         let shared = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                if shared.lock().expect("a state").down {
+                    continue;
+                }
                 let (state, sender) = (shared.clone(), sender.clone());
                 thread::spawn(move || serve(stream, &state, &sender));
             }
@@ -97,6 +102,13 @@
         self.state.lock().expect("a state").frozen = frozen;
     }
 
+    /// Ends all watches and serves nobody, or ends that.
+    pub fn be_down(&self, down: bool) {
+        let mut state = self.state.lock().expect("a state");
+        state.down = down;
+        state.watchers.clear();
+    }
+
     /// Turns so many requests with notices away before one is heard.
     pub fn be_deaf(&self, times: usize) {
         self.state.lock().expect("a state").deaf = times;
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 //! and runs unchanged on every front.
 
 mod bad_clients;
+mod client_crossings;
 mod discovery;
 mod dns_only;
 mod held_log;
