Let two tests of calls stand still on a busy machine without another outcome

The call with no time left came by a connection that took 10 of its 95 ms to come up, and the connection that comes too late was 200 ms behind its limit: a stall of the machine longer than that would have failed them. The first now comes by a kept connection, where no limit runs, and the second one never comes up in time. What they assert is the same.

--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -484,12 +484,12 @@
     caller.done();
 }
 
-/// Its connections take their time to come up.
-struct Slow(Poster, Rc<Wheel>, Duration);
+/// Its connections do not come up in time.
+struct Slow(Poster, Rc<Wheel>);
 
 impl Dialect for Slow {
     async fn greet(&self, _: &mut Stream) -> io::Result<Option<Duration>> {
-        self.1.sleep(self.2).await;
+        self.1.sleep(LONG).await;
         Ok(None)
     }
 
@@ -502,36 +502,30 @@
     }
 }
 
-fn slow(
-    time: Duration,
-    connect: Duration,
-    script: impl FnOnce(TcpListener) + Send + 'static,
-) -> Caller<Slow> {
-    let wheel = Wheel::new();
-    caller_by(Slow(poster(), wheel.clone(), time), wheel, connect, script)
-}
-
 #[test]
-fn a_connection_that_comes_up_with_no_time_left_for_an_answer_carries_the_next_call_and_not_this_one() {
+fn a_call_with_no_time_left_for_an_answer_is_not_sent_and_leaves_its_connection_to_the_next() {
     let (sent, gone) = channel();
-    let caller = slow(10 * MS, LONG, move |listener| {
+    let caller = caller(move |listener| {
         let mut side = Side::accept(&listener);
+        side.serve(OK);
         side.request();
         sent.send(Instant::now()).expect("heard");
         side.say(OK);
         side.ended();
     });
+    assert_eq!(caller.call(LONG), Outcome::Ok);
     assert_eq!(caller.call(95 * MS), Outcome::Moot);
-    let second = Instant::now();
+    let third = Instant::now();
     assert_eq!(caller.call(LONG), Outcome::Ok);
-    assert!(gone.recv().expect("a request") >= second);
+    assert!(gone.recv().expect("a request") >= third);
     caller.done();
 }
 
 #[test]
 fn a_connection_that_comes_up_too_late_is_closed_before_the_report_and_never_used() {
     let (report, reported): (_, Receiver<()>) = channel();
-    let caller = slow(300 * MS, 100 * MS, move |listener| {
+    let wheel = Wheel::new();
+    let caller = caller_by(Slow(poster(), wheel.clone()), wheel, 100 * MS, move |listener| {
         let side = Side::accept(&listener);
         reported.recv().expect("the report");
         side.0.set_nonblocking(true).expect("an option");
