Name each unusable setting of the platform by the page's own name, in one line

Need: settings that cannot be used end the start with one line that names them.

Seen by reading: `limits.disk_mb` 0.001, `limits.sockets` 3 and `limits.maxAttempts` 0 were taken from the platform's configuration, though nothing can be held, served or called with them; an operator's file had the first two checked (`Config::faults`). What the module refuses was named by its own fields ("setting slots"), which no page of settings has.

Change: `Config::from_platform` checks both limits as the operator's file does; `settings::parse` refuses no attempts; `settings::told` names what `Settings::check` refuses by the settings' page, with the field behind it.

--- a/src/config.rs
+++ b/src/config.rs
@@ -27,6 +27,8 @@
 
 /// Clocks may be so many seconds apart where updates are signed.
 const FUDGE_S: u16 = 300;
+/// Fewer descriptors leave none for clients and calls.
+const LEAST_SOCKETS: usize = 16;
 /// How long a final answer waits for its client, if the operator says nothing.
 const KEEP_ANSWERS_S: u64 = 600;
 
@@ -495,8 +497,8 @@
             name: word("NODE_NAME", "name")?,
             state: word("NODE_STATE", "state")?.into(),
             seed: seed(json.get("seed")).ok_or("seed: not a hexadecimal number")?,
-            sockets: limit("sockets", Limits::default().sockets as f64)? as usize,
-            store: Setup::new((limit("disk_mb", Limits::default().disk_mb)? * 1e6) as u64),
+            sockets: enough_sockets(limit("sockets", Limits::default().sockets as f64)? as usize)?,
+            store: Store::default().setup(limit("disk_mb", Limits::default().disk_mb)?)?,
             deployment: settings::from_json(settings)?,
             columns: columns(settings),
             known: known.map_err(|e| format!("known: {e}"))?,
@@ -573,9 +575,6 @@
         if let Some(share) = self.platform.as_ref().map(|p| p.restarts_together).filter(|s| !is_share(s)) {
             fault("platform.restarts_together", format!("{share} is not above 0 and at most 1"));
         }
-        if self.sockets < 16 {
-            fault("limits.sockets", format!("{} are too few", self.sockets));
-        }
         if let Some(brokers) = &self.brokers {
             for kind in brokers.kinds.iter().filter(|k| !kinds.contains(k)) {
                 fault("brokers.kinds", format!("settings.kinds has no '{kind}'"));
@@ -585,6 +584,7 @@
                 fault("brokers.topic", format!("'{}' is no topic", brokers.topic));
             }
         }
+        faults.extend(enough_sockets(self.sockets).err());
         faults.extend(self.door.faults(&self.deployment.classes));
         faults
     }
@@ -636,6 +636,13 @@
     Vec::new()
 }
 
+fn enough_sockets(sockets: usize) -> Result<usize, String> {
+    if sockets < LEAST_SOCKETS {
+        return Err(format!("limits.sockets: {sockets} are too few"));
+    }
+    Ok(sockets)
+}
+
 fn columns(settings: &Value) -> Vec<String> {
     let columns = settings.pointer("/stats/columns").and_then(Value::as_array);
     columns.into_iter().flatten().filter_map(|c| c.as_str().map(str::to_string)).collect()
--- a/src/main.rs
+++ b/src/main.rs
@@ -40,6 +40,7 @@
 use raildeal::net::platform::watch::{Watch, BEAT};
 use raildeal::net::seats::{Seats, WhenFull};
 use raildeal::net::{MQTT, PLATFORM};
+use raildeal::settings;
 use raildeal::turns::Turns;
 use raildeal::{Earlier, Relay, Settings};
 use rustix::process::{getrlimit, Resource};
@@ -363,7 +364,7 @@
     let (tended, synced, ended) = (journal.clone(), journal.clone(), journal.clone());
     let budget = budget(&config);
     let invoker = providers(&config, &budget, &wheel);
-    let relay = Relay::new(settings.clone(), config.seed).map_err(|e| e.to_string())?;
+    let relay = Relay::new(settings.clone(), config.seed).map_err(|e| settings::told(&e))?;
     let (watch, asked) = async_channel::bounded(1);
     let desk = Desk::new(relay, directory.clone(), Rc::new(Wishes { invoker: invoker.clone(), watch }));
     let zones = config.dns.as_ref().map(|d| Zones::open(&d.zone_file)).transpose()?;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! Reads the settings that a relay is given at its start, whether as path=value lines or as nested JSON with the same
 //! names. Unknown keys are skipped; no decision is made here.
 
-use crate::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, Tenant, Time};
+use crate::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, SettingsError, Tenant, Time};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -64,6 +64,18 @@
     }
 }
 
+/// Tells a setting that no relay can work by, by the name that the page of settings has for it.
+pub fn told(fault: &SettingsError) -> String {
+    let name = match fault.setting {
+        "classes" => "categories",
+        "classes.deadline" => "categories.deadline",
+        "slots" => "familyInfo.maxCalls",
+        "room" => "limits.openCap",
+        other => other,
+    };
+    format!("setting {name} ({}): {}", fault.setting, fault.problem)
+}
+
 struct Env(BTreeMap<String, String>);
 
 impl Env {
@@ -133,6 +145,10 @@
             Ok(Kind { apart: apart.get(i) == Some(&"true"), batch: size })
         })
         .collect::<Result<_, String>>()?;
+    let max_attempts = env.get("limits.maxAttempts", 1)?;
+    if max_attempts == 0 {
+        return Err("setting limits.maxAttempts: must be above zero".into());
+    }
     let class_names =
         env.items("categories", |p| Ok(env.word(&format!("{p}.name")).unwrap_or("").to_string()))?;
     let fees = env.list("familyInfo.carriage").into_iter().map(str::parse);
@@ -148,7 +164,7 @@
         relays: env.get("balancers", 1)?,
         slots: env.get("familyInfo.maxCalls", 0)?,
         room: env.get("limits.openCap", 0)?,
-        max_attempts: env.get("limits.maxAttempts", 1)?,
+        max_attempts,
         bounds: Vec::new(),
         decay: if env.word("familyInfo.losesWorth") == Some("halving") {
             Decay::Halving
