Let the stand-ins' cold endpoints fall at today's bound, and keep the most that came

The rig's endpoints, the lab's zones and the model of returns still allowed 3 roots and 3 calls for every N.

They hold the stricter bound now (`topples` in rig/src/limits.rs, lab/src/zones.rs, tests/model_zones.rs), and an endpoint of the rig keeps the most calls of a window that ever came to it while it was cold (`Partner::peak`), so that a play can tell how near the sum comes and not only whether it went over.

--- a/lab/src/zones.rs
+++ b/lab/src/zones.rs
@@ -628,7 +628,8 @@
             let part = (now - back) as f64 / warm as f64;
             let warmth = rules.cold_share + (1.0 - rules.cold_share) * part;
             let n = rules.overload_factor * warmth * rate * f64::from(rules.overload_for_ms) / 1e3;
-            if f64::from(endpoint.came.iter().sum::<u32>()) > n + 3.0 * n.sqrt() + 3.0 {
+            let roots = if n < 30.0 { 3.0 } else { 2.0 };
+            if f64::from(endpoint.came.iter().sum::<u32>()) > n + roots * n.sqrt() + roots {
                 self.played.toppled += 1;
                 (endpoint.down_until, endpoint.back) = (now + DOWN, Some(now + DOWN));
                 endpoint.came = [0; 10];
--- a/rig/src/limits.rs
+++ b/rig/src/limits.rs
@@ -114,12 +114,39 @@
     taken: u32,
     /// What came of late, while it was cold.
     came: VecDeque<Instant>,
+    peak: Peak,
+}
+
+/// Calls from which on chance counts for less: 2 roots of them and 2 calls, and 3 roots and 3 calls under that.
+const MANY_CALLS: f64 = 30.0;
+
+/// Most calls within `overload_for_s` that one bears which may get so many.
+pub fn bears(may: f64) -> f64 {
+    let roots = if may < MANY_CALLS { 3.0 } else { 2.0 };
+    may + roots * may.sqrt() + roots
+}
+
+/// What came to a cold one within `overload_for_s`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Peak {
+    /// All calls, also those that were turned away.
+    pub calls: usize,
+    /// What it might get then.
+    pub budget: f64,
+}
+
+impl Peak {
+    /// The calls as a part of those that it bears: over 1, it falls.
+    pub fn part(&self) -> f64 {
+        self.calls as f64 / bears(self.budget)
+    }
 }
 
 impl Limit {
     /// One that is warm.
     pub fn new(terms: Terms) -> Limit {
-        Limit { terms, dead: None, fallen: None, back: None, window: None, taken: 0, came: VecDeque::new() }
+        let (came, peak) = (VecDeque::new(), Peak::default());
+        Limit { terms, dead: None, fallen: None, back: None, window: None, taken: 0, came, peak }
     }
 
     /// It dies, or dies otherwise.
@@ -154,6 +181,11 @@
         self.back.map_or(1.0, |back| self.terms.warmth(now.saturating_duration_since(back)))
     }
 
+    /// The most that ever came while it was cold, beside what it bore then.
+    pub fn peak(&self) -> Peak {
+        self.peak
+    }
+
     /// A call comes in.
     pub fn comes(&mut self, now: Instant) -> Does {
         let late = match self.death(now) {
@@ -183,7 +215,7 @@
     }
 
     /// Counts what comes to a cold one, also what it turns away. It falls over where more came within `overload_for_s` than it may get
-    /// (N: so many times what it bears now) and what chance explains (3 standard deviations and 3 calls).
+    /// (N: so many times what it bears now) and what chance explains ([`bears`]).
     fn topples(&mut self, now: Instant, bears: f64) -> bool {
         let long = Duration::from_secs_f64(self.terms.overload_for_s);
         if self.warmth(now) >= 1.0 {
@@ -195,7 +227,11 @@
         }
         self.came.push_back(now);
         let may = self.terms.overload_factor * bears * self.terms.overload_for_s;
-        let falls = self.came.len() as f64 > may + 3.0 * may.sqrt() + 3.0;
+        let came = Peak { calls: self.came.len(), budget: may };
+        if came.part() > self.peak.part() {
+            self.peak = came;
+        }
+        let falls = came.part() > 1.0;
         if falls {
             self.came.clear();
         }
@@ -266,10 +302,24 @@
         assert_eq!(limit.comes(begun + ms(4_999)), Does::Gone(false));
         assert_eq!(limit.comes(begun + ms(5_000)), Does::Takes(ms(0)));
         assert!((limit.warmth(begun + ms(5_000)) - 0.23).abs() < 1e-9);
+        assert_eq!(limit.peak().calls, 28, "{:?}", limit.peak());
         // The same calls over a longer time are what it may get.
         let (mut limit, begun) = of(1.0);
         limit.dies(Death::Hangs);
         limit.lives(begun);
         assert!((0..120).all(|n| !matches!(limit.comes(begun + ms(115 * n)), Does::Gone(_))));
+        assert!(limit.peak().part() < 1.0, "{:?}", limit.peak());
+    }
+
+    #[test]
+    fn one_that_may_get_thirty_calls_bears_two_roots_and_two_more() {
+        // 100 a second, cold 23: it may get 138 within 3 s, and 2 roots and 2 more: 163.
+        let terms = Terms { listed: 100.0, factor: Some(1.0), ..Terms::default() };
+        let (mut limit, begun) = (Limit::new(terms), Instant::now());
+        limit.dies(Death::Hangs);
+        limit.lives(begun);
+        assert!((0..163).all(|_| !matches!(limit.comes(begun), Does::Gone(_))));
+        assert_eq!(limit.comes(begun), Does::Gone(true));
+        assert_eq!((bears(29.0) as u32, bears(30.0) as u32), (48, 42));
     }
 }
--- a/rig/src/partner.rs
+++ b/rig/src/partner.rs
@@ -1,6 +1,6 @@
 //! Endpoints of partners: each takes calls over kept connections and answers after a while, as much as it bears.
 
-use crate::limits::{Death, Does, Limit, Terms};
+use crate::limits::{Death, Does, Limit, Peak, Terms};
 use crate::port::Port;
 use crate::record::{is_open, Record};
 use crate::relay::Relay;
@@ -135,6 +135,11 @@
         (state.came, state.turned_away)
     }
 
+    /// The most calls of a window that ever came while it was cold.
+    pub fn peak(&self) -> Peak {
+        self.0.state().limit.peak()
+    }
+
     /// Part of its rate that it bears now.
     pub fn warmth(&self) -> f64 {
         self.0.state().limit.warmth(Instant::now())
--- a/tests/model_zones.rs
+++ b/tests/model_zones.rs
@@ -184,7 +184,8 @@
                     let could = s.granted.iter().filter(|g| g.to + long > from);
                     let calls: u32 = could.map(|g| g.calls).sum();
                     let n = f64::from(RATE) * 0.5 * long as f64 / 1e3;
-                    if f64::from(calls) > n + 3.0 * n.sqrt() + 3.0 {
+                    let roots = if n < 30.0 { 3.0 } else { 2.0 };
+                    if f64::from(calls) > n + roots * n.sqrt() + roots {
                         s.wrong.push("more than the budget of a window");
                     }
                 }
