Derive a sender's ramp to a cold endpoint from the budget, the window and all senders

An endpoint in slow start with budget N falls at more than N + 2 root N + 2 calls of a window, N + 3 root N + 3 under 30, summed over all senders. The budget in `Relay::budget` knew no bound: each sender could save half of its window's rate, which is N / 2 for a fleet of few, over 2 root N + 2 from N = 30 on, and nothing counted the chance of many senders.

`src/slow_start.rs` has the one function, `Ramp::of`, with its reason: few senders share what the bound leaves over N and can't exceed it at all; of more each saves one call, and the rate is cut where the mean of a sum of independent turns would exceed the bound in more than one window of a thousand, the growth of N during the window counted. Turns are drawn evenly there (`by_lot`). The decision module uses it, and the office of the zones (`src/keeper/zones/cold.rs`), which is one sender in its sense; its rate is N over the same span as before.

Left: what fails for less than 1.5 windows counts as no outage (`brief` in `Host::answered`), and no budget is kept after it.

--- a/src/keeper/zones/cold.rs
+++ b/src/keeper/zones/cold.rs
@@ -3,12 +3,13 @@
 //! # The budget
 //!
 //! An endpoint that is cold takes the part `w` of what is listed, from [`Rules::cold_share`] up to all of it after
-//! [`Rules::warm_after_ms`]. It falls over where more than `N + 3 root N + 3` calls come in [`Rules::overload_for_ms`] (`W`), with
-//! `N = factor * w * rate * W`. Warmth is counted from the first answer of this return, once two reporters tell of answers, which is later
+//! [`Rules::warm_after_ms`] ([`warmth`]). It falls over where more calls come in [`Rules::overload_for_ms`] (`W`) than [`bound`] of
+//! `N = factor * w * rate * W`, which is over `N + 2` always. Warmth is counted from the first answer of this return, once two reporters tell of answers, which is later
 //! than the endpoint's own count, so `w` is never over the truth. Calls of a slice that begins at `b` come from `b` to
 //! `b + slice + within + flight`. What is reserved in slices that begin in a span `L` is at most `r (L + slice) + 1` at the pace `r`
 //! (the credit saved up is at most one slice and a call). The calls that come in any `W` are of slices that begin in a span of
-//! `W + slice + within + flight`, so with `r = N / (W + 2 slice + within + flight)` they are at most `N + 1`.
+//! `W + slice + within + flight`, so with `r = N / (W + 2 slice + within + flight)` they are at most `N + 1`. The office is one sender in the sense of [`Ramp`]: what it hands out is the whole sum, so its
+//! rate has no chance in it. What the bound leaves beyond `N + 1` is for the chance of the next paragraph.
 //!
 //! Senders that have come in again go by their own care. What they are expected to take ([`Share::taken`]) goes off the pace; the office
 //! lets in as many as a destination bears ([`Cold::bears`]).
@@ -34,6 +35,9 @@
 
 use super::{ms, Rules};
 use crate::keeper::wire::{Counts, Grant, Want};
+#[cfg(doc)]
+use crate::slow_start::bound;
+use crate::slow_start::{self, Ramp};
 use crate::Time;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -72,13 +76,14 @@
     }
     let window = f64::from(rules.overload_for_ms);
     let spread = f64::from(2 * rules.slice_ms + rules.within_ms + rules.flight_ms);
-    can.min(rules.overload_factor * can * window / (window + spread))
+    let n = rules.overload_factor * can * window / 1e3;
+    can.min(Ramp::of(n, 0.0, (window + spread) / 1e3, 1).rate)
 }
 
 /// The part of what is listed that an endpoint takes.
 fn warmth(rules: &Rules, warm_ms: f64) -> f64 {
-    let part = if rules.warm_after_ms == 0 { 1.0 } else { warm_ms / f64::from(rules.warm_after_ms) };
-    (rules.cold_share + (1.0 - rules.cold_share) * part).min(1.0)
+    let warmed = if rules.warm_after_ms == 0 { 1.0 } else { warm_ms / f64::from(rules.warm_after_ms) };
+    slow_start::warmth(rules.cold_share, warmed)
 }
 
 #[derive(Clone, Debug, Default)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod policy;
 pub mod routes;
 pub mod settings;
+pub mod slow_start;
 mod state;
 pub mod store;
 pub mod trace;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,6 +11,7 @@
 use crate::measure::*;
 use crate::pace::{Gate, Lore, Refusal, RARE, SPENT};
 use crate::routes::{lot_of, Routes, Traveller, Way};
+use crate::slow_start::{warmth, Ramp};
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -399,11 +400,13 @@
         self.dest(dest).gates.entry(of).or_insert_with(|| Gate::new(start))
     }
 
-    /// Refills and returns the budget for endpoints that are down or coming back: what they can take cold,
-    /// times the factor, grown by the warm-up since the first success, for this relay's share as seen before.
-    fn budget(&mut self, now: Time, dest: DestId, e: &Endpoint) -> (f64, f64) {
+    /// What this relay may send to endpoints that are down or coming back: its part of what they can take
+    /// cold, times the factor, grown by the warm-up since the first success.
+    fn ramp(&mut self, now: Time, dest: DestId, e: &Endpoint) -> Ramp {
         let (gate, fair) = (self.gate_of(e), self.fair(dest, e));
-        let (mut rate, span) = (0.0, to_secs(self.s.overload_for).max(0.1));
+        let (mut rate, mut growth) = (0.0, 0.0);
+        let span = to_secs(self.s.overload_for).max(0.1);
+        let relays = f64::from(self.s.relays.max(1));
         let warmed = |t: f64| t / to_secs(self.s.warm_after).max(0.1);
         let parts = if gate.is_some() { 1 } else { self.dests[&dest].hosts.len() };
         for o in &self.dests[&dest].hosts {
@@ -415,23 +418,32 @@
                 Health::Sick => warmed(unseen(to_secs(now - h.failed_at), self.s.relays).min(span)),
             };
             if gate.is_none_or(|g| g == *o) {
-                let share = (self.s.cold_share + (1.0 - self.s.cold_share) * warm).min(1.0);
                 let can = fair.map_or(HEADROOM * h.base, |f| f / parts as f64);
-                rate += self.s.overload_factor * share * can;
+                rate += self.s.overload_factor * warmth(self.s.cold_share, warm) * can;
+                growth += self.s.overload_factor * (1.0 - self.s.cold_share) * warmed(span).min(1.0) * can;
             }
         }
-        rate += fair.map_or(LEAST_TRIALS / (span * f64::from(self.s.relays.max(1))), |_| 0.0);
+        let all = span * relays;
+        rate += fair.map_or(LEAST_TRIALS / all, |_| 0.0);
+        Ramp::of(rate * all, growth * all, span, self.s.relays)
+    }
+
+    /// Refills and returns the budget of such calls, and its rate.
+    fn budget(&mut self, now: Time, dest: DestId, e: &Endpoint) -> (f64, f64) {
+        let ramp = self.ramp(now, dest, e);
         let g = self.gate(dest, e);
-        g.budget = (g.budget + rate * to_secs(now - g.budget_at)).min((rate * span * 0.5).max(1.0));
+        g.budget = ramp.due(g.budget, to_secs(now - g.budget_at));
         g.budget_at = now;
-        (g.budget, rate)
+        (g.budget, ramp.rate)
     }
 
     /// Rare callers of a large fleet each come by less than a call: who may try first is drawn by lot.
     fn by_lot(&mut self, dest: DestId, e: &Endpoint) {
         let (now, lot) = (self.now, self.random.draw());
+        let needed = self.ramp(now, dest, e).needs_lot();
         let g = self.gate(dest, e);
-        (g.budget, g.budget_at) = (g.budget.min(mix(g.known(now).powi(2), 1.0, lot)), now);
+        let known = if needed { 0.0 } else { g.known(now).powi(2) };
+        (g.budget, g.budget_at) = (g.budget.min(mix(known, 1.0, lot)), now);
     }
 
     fn ended(&mut self, now: Time, at: (MessageId, u16), outcome: Outcome, took: Time, report: &[f32]) {
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -18,8 +18,8 @@
 }
 
 /// The files of the decision module; each names only those before it.
-const MODULE: [&str; 9] =
-    ["routes", "interface", "measure", "links", "fleet", "pace", "health", "state", "policy"];
+const MODULE: [&str; 10] =
+    ["routes", "interface", "measure", "slow_start", "links", "fleet", "pace", "health", "state", "policy"];
 
 #[test]
 fn the_module_names_no_socket_and_no_core_and_goes_in_no_circle() {
--- a/tests/many/main.rs
+++ b/tests/many/main.rs
@@ -2,6 +2,7 @@
 
 #[cfg(feature = "fleet")]
 mod policies;
+mod slow_start;
 mod standing;
 #[cfg(feature = "fleet")]
 mod tables;
--- a/tests/many/standing.rs
+++ b/tests/many/standing.rs
@@ -31,13 +31,14 @@
 /// Clients of the page wait for 400 ms; a machine that runs much else at once may need longer.
 const ANSWER: Duration = Duration::from_secs(2);
 
-const fn ms(ms: u64) -> Duration {
+pub(super) const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-fn settings() -> Value {
+fn settings(shape: &Shape) -> Value {
     json!({
-        "balancers": SENDERS, "discovery": "subscribe", "kinds": ["hook"], "localities": ["a"], "weights": "rough",
+        "balancers": shape.senders, "discovery": "subscribe", "kinds": ["hook"], "localities": ["a"],
+        "weights": shape.weights,
         "categories": CLASSES.map(|name| json!({"name": name, "promise": 3_000_000_000u64, "deadline": 8_000_000_000u64,
             "effect": "token", "dedupScope": "zone", "window": 5_000_000_000u64, "points": 1.0, "lateWorth": 0.5})),
         "familyInfo": {"maxCalls": 12, "kindApart": [true], "kindBatch": [1], "losesWorth": "halving"},
@@ -48,10 +49,22 @@
     })
 }
 
-struct Fleet {
-    record: Arc<Record>,
+/// How many there are of what, and what the list's rates are said to be worth.
+#[derive(Clone, Copy)]
+pub(super) struct Shape {
+    pub senders: usize,
+    pub dests: usize,
+    pub endpoints: usize,
+    pub weights: &'static str,
+}
+
+const USUAL: Shape = Shape { senders: SENDERS, dests: DESTS, endpoints: ENDPOINTS, weights: "rough" };
+
+pub(super) struct Fleet {
+    pub record: Arc<Record>,
+    shape: Shape,
     directory: Directory,
-    partners: Vec<Partner>,
+    pub partners: Vec<Partner>,
     senders: Vec<Sender>,
     /// Each sender's line to the directory, by which that knows who asks.
     _lines: Vec<Relay>,
@@ -64,28 +77,32 @@
     }
 
     fn with(call: Duration, terms: Terms) -> Fleet {
+        Fleet::of(USUAL, call, terms)
+    }
+
+    pub fn of(shape: Shape, call: Duration, terms: Terms) -> Fleet {
         let record = Arc::<Record>::default();
         let partner = |n: usize| Partner::start(&format!("s{n}"), call, terms, record.clone());
-        let partners: Vec<Partner> = (0..ENDPOINTS).map(|n| partner(n).expect("an endpoint")).collect();
+        let partners: Vec<Partner> = (0..shape.endpoints).map(|n| partner(n).expect("an endpoint")).collect();
         let target = |(n, partner): (usize, &Partner)| {
             json!({"uid": format!("s{n}"), "endpoint": partner.address(), "az": "a", "model": "hook",
-                "pod_group": n % DESTS, "state": "active", "capacity_hint": terms.listed, "boot_ms": 0})
+                "pod_group": n % shape.dests, "state": "active", "capacity_hint": terms.listed, "boot_ms": 0})
         };
         let targets: Vec<Value> = partners.iter().enumerate().map(target).collect();
         let directory = Directory::start(ms(5), targets.clone(), record.clone()).expect("a directory");
         let (mut senders, mut lines) = (Vec::new(), Vec::new());
-        for n in 0..SENDERS {
+        for n in 0..shape.senders {
             let (name, line) = (format!("n{n}"), Relay::start(directory.address).expect("a line"));
             directory.names(line.address.port(), &name);
             let config = json!({"listen": "127.0.0.1:0", "discovery": line.address, "seed": format!("{n:016x}"),
                 "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 3},
-                "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings()});
+                "known": {"rev": 1, "all": true, "targets": targets}, "settings": settings(&shape)});
             let program = Path::new(env!("CARGO_BIN_EXE_raildeal"));
             senders.push(Sender::new(program, name, config, 1.0).expect("a folder"));
             lines.push(line);
         }
-        let mut fleet = Fleet { record, directory, partners, senders, _lines: lines, handed: 0 };
-        fleet.starts(0..SENDERS);
+        let mut fleet = Fleet { record, shape, directory, partners, senders, _lines: lines, handed: 0 };
+        fleet.starts(0..shape.senders);
         fleet
     }
 
@@ -102,14 +119,15 @@
     }
 
     /// Hands forty messages a second in for a while, and looks how late this machine is.
-    fn hands_in(&mut self, lasts: Duration) {
+    pub fn hands_in(&mut self, lasts: Duration) {
         const STEP: Duration = ms(25);
+        let Shape { senders, dests, .. } = self.shape;
         let (end, mut clients) = (Instant::now() + lasts, Vec::new());
         while Instant::now() < end {
-            let sender = &self.senders[self.handed % SENDERS];
+            let sender = &self.senders[self.handed % senders];
             let (log, name, record) = (sender.log(), sender.name.clone(), self.record.clone());
             // Each sender comes to each destination.
-            let (id, dest) = (format!("m{}", self.handed), self.handed / SENDERS % DESTS);
+            let (id, dest) = (format!("m{}", self.handed), self.handed / senders % dests);
             clients.push(thread::spawn(move || log.hand_in(&name, &id, CLASSES[0], dest, LEFT, &record)));
             self.handed += 1;
             let asleep = Instant::now();
@@ -121,7 +139,7 @@
     }
 
     /// Waits for the ends of all, and checks the rules.
-    fn judge(&mut self, least: f64) {
+    pub fn judge(&mut self, least: f64) {
         self.record.settle(LEFT + ms(2_000));
         let (verdict, (taken_on, delivered)) = (self.record.verdict(), self.record.ends());
         let seen = self.record.seen();
--- /dev/null
+++ b/tests/slow_start.rs
@@ -0,0 +1,317 @@
+//! Calls of all senders together to an endpoint that is back cold, in sliding windows: 1 to 1,000 senders by the budget alone, up to
+//! a hundred with the whole module.
+
+mod common;
+
+use common::{settings, MS, SEC};
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestCaseError, TestRunner};
+use raildeal::slow_start::{bound, warmth, Ramp};
+use raildeal::*;
+use std::cell::Cell;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What topples an endpoint with budget `n`, as the standing test has it. Written anew here: the code under test is not to judge
+/// itself.
+fn falls(calls: usize, n: f64) -> bool {
+    let roots = if n < 30.0 { 3.0 } else { 2.0 };
+    calls as f64 > n + roots * n.sqrt() + roots
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let rng_seed = RngSeed::Fixed(0x0071_da1d);
+    // A smaller case of a failure by chance is no better to read.
+    let max_shrink_iters = 0;
+    let config =
+        ProptestConfig { rng_seed, failure_persistence: None, cases, max_shrink_iters, ..Default::default() };
+    TestRunner::new(config)
+}
+
+/// Steps of a window.
+const STEPS: usize = 60;
+
+/// How messages come to senders.
+#[derive(Clone, Copy, Debug)]
+enum Demand {
+    /// Each has one that waits, always.
+    Always,
+    /// One comes to each now and then, by this chance in a step, and waits until it is sent.
+    Rare(f64),
+    /// Each has one in one of two spans of so many steps: all begin and end to send at once.
+    Pulses(usize),
+}
+
+fn demand() -> impl Strategy<Value = Demand> {
+    prop_oneof![
+        Just(Demand::Always),
+        (0.0005..0.1f64).prop_map(Demand::Rare),
+        (20..400usize).prop_map(Demand::Pulses)
+    ]
+}
+
+/// Values of which each power of ten is as likely as the next.
+fn spread(from: f64, to: f64) -> impl Strategy<Value = f64> {
+    (from.ln()..to.ln()).prop_map(f64::exp)
+}
+
+/// Calls in each step of so many windows, where all senders together may send `n(step)` in a window. The turns are drawn at first, as
+/// the relay draws them when an endpoint fails.
+fn calls(senders: u32, demand: Demand, seed: u64, windows: usize, n: impl Fn(usize) -> f64) -> Vec<usize> {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let growth = n(STEPS) - n(0);
+    let first = Ramp::of(n(0), growth, 1.0, senders);
+    let drawn = |r: &mut fastrand::Rng| if first.needs_lot() { r.f64() } else { first.due(0.0, 1e9) };
+    let mut due: Vec<f64> = (0..senders).map(|_| drawn(&mut random)).collect();
+    let mut waits = vec![false; senders as usize];
+    (0..windows * STEPS)
+        .map(|step| {
+            let ramp = Ramp::of(n(step), growth, 1.0, senders);
+            let mut sent = 0;
+            for (due, waits) in due.iter_mut().zip(&mut waits) {
+                *due = ramp.due(*due, 1.0 / STEPS as f64);
+                *waits = match demand {
+                    Demand::Always => true,
+                    Demand::Rare(chance) => *waits || random.f64() < chance,
+                    Demand::Pulses(long) => step / long % 2 == 0,
+                };
+                while *waits && *due >= 1.0 {
+                    (*due, *waits) = (*due - 1.0, !matches!(demand, Demand::Rare(_)));
+                    sent += 1;
+                }
+            }
+            sent
+        })
+        .collect()
+}
+
+#[test]
+fn no_more_than_one_window_in_a_thousand_of_1_to_1000_senders_exceeds_the_bound_at_the_worst() {
+    let (windows, over) = (Cell::new(0), Cell::new(0));
+    let of = (spread(1.0, 1_000.5), spread(0.2, 600.0), demand(), any::<u64>());
+    runner(300)
+        .run(&of, |(senders, n, demand, seed)| {
+            let senders = senders as u32;
+            // What many senders keep is the bound while messages wait at each of them, which is the most that they are asked for.
+            let few = !Ramp::of(n, 0.0, 1.0, senders).needs_lot();
+            let calls = calls(senders, if few { demand } else { Demand::Always }, seed, 100, |_| n);
+            let too_many = calls.windows(STEPS).filter(|w| falls(w.iter().sum(), n)).count();
+            prop_assert!(!few || too_many == 0, "{too_many} of few senders");
+            windows.set(windows.get() + calls.len());
+            over.set(over.get() + too_many);
+            Ok::<(), TestCaseError>(())
+        })
+        .expect("few senders always keep the bound");
+    println!("{} of {} windows", over.get(), windows.get());
+    assert!(over.get() * 1_000 <= windows.get(), "{} of {} windows", over.get(), windows.get());
+}
+
+#[test]
+fn at_most_one_return_in_a_hundred_of_1_to_1000_senders_exceeds_the_bound_in_any_sliding_window() {
+    const RETURNS: u32 = 1_000;
+    let over = Cell::new(0);
+    let of = (spread(1.0, 1_000.5), spread(0.5, 200.0), 0.05..0.6f64, 2..10usize, demand(), any::<u64>());
+    runner(RETURNS)
+        .run(&of, |(senders, first, cold, long, demand, seed)| {
+            let n = |step: usize| first / cold * warmth(cold, step as f64 / (long * STEPS) as f64);
+            let needs_lot = |step| Ramp::of(n(step), n(STEPS) - n(0), 1.0, senders as u32).needs_lot();
+            let by_chance = (0..=long * STEPS).any(needs_lot);
+            let demand = if by_chance { Demand::Always } else { demand };
+            let calls = calls(senders as u32, demand, seed, long, n);
+            let sum = |end: usize| calls[end.saturating_sub(STEPS)..end].iter().sum();
+            let too_many = (1..=calls.len()).find(|end| falls(sum(*end), n(*end)));
+            prop_assert!(by_chance || too_many.is_none(), "few senders, by step {too_many:?}");
+            over.set(over.get() + u32::from(too_many.is_some()));
+            Ok(())
+        })
+        .expect("few senders always keep the bound");
+    println!("{} of {RETURNS} returns", over.get());
+    assert!(over.get() * 100 <= RETURNS, "{} of {RETURNS} returns", over.get());
+}
+
+#[test]
+fn the_budget_of_senders_is_no_slower_than_the_endpoint_bears() {
+    let part = |senders, n, growth| Ramp::of(n, growth, 3.0, senders).rate * 3.0 * f64::from(senders) / n;
+    for senders in [1, 3, 10, 30, 100, 300, 1_000] {
+        for n in [0.5, 2.0, 5.0, 14.0, 29.0, 30.0, 45.0, 100.0, 400.0] {
+            // Where chance would exceed the bound: many senders that each make less than a call.
+            let least = if senders <= 30 || n < 20.0 { 1.0 - 1e-6 } else { 0.82 };
+            assert!((least..=1.000_001).contains(&part(senders, n, 0.0)), "{senders} senders, {n} calls");
+            // An endpoint that doubles what it bears within a window has the chance counted by that alone.
+            assert!(part(senders, n, n / 2.0) > 1.0 - 1e-6, "{senders} senders, {n} calls");
+        }
+    }
+}
+
+#[test]
+fn the_bound_is_that_of_the_standing_test_and_holds_for_whatever_more_an_endpoint_bears() {
+    for tenth in 0..5_000 {
+        let n = f64::from(tenth) / 10.0;
+        assert!(!falls(bound(n).floor() as usize, n), "{n}");
+        assert!(bound(n) <= bound(n + 0.1), "{n}");
+    }
+    assert!(falls(bound(100.0) as usize + 1, 100.0));
+}
+
+/// Time that a call takes, and a refusal.
+const CALL: (Time, Time) = (200 * MS, 10 * MS);
+/// Time that a message has.
+const TTL: Time = 12 * SEC;
+const STEP: Time = 10 * MS;
+
+/// An endpoint that goes down and comes back cold, called by so many whole relays.
+struct Return {
+    relays: Vec<Relay>,
+    s: Settings,
+    listed: f64,
+    /// How many endpoints go down with it.
+    away: u8,
+    now: Time,
+    down: bool,
+    /// When the endpoint came back.
+    back: Option<Time>,
+    /// Calls that came to it since.
+    came: VecDeque<Time>,
+    /// The most calls of a window, as a part of what topples it, and the budget then.
+    worst: (f64, usize, f64),
+    out: BTreeMap<(Time, usize, MessageId), Outcome>,
+    attempts: BTreeMap<MessageId, u16>,
+    next: MessageId,
+    random: fastrand::Rng,
+}
+
+impl Return {
+    fn new(relays: u32, (endpoints, away): (u8, u8), listed: f64, seed: u64) -> Return {
+        let s = Settings {
+            relays,
+            listed: ListedRates::Nominal,
+            slots: 40,
+            room: 400,
+            cold_share: 0.23,
+            warm_after: 13 * SEC,
+            overload_for: 3 * SEC,
+            max_attempts: 12,
+            ..settings()
+        };
+        let line = |n| Listing { rate: listed as f32, ..common::line(n, 1, 2, Condition::Ready) };
+        let (now, list) = (5 * SEC, Vec::from_iter((1..=endpoints).map(line)));
+        let relay = |i| {
+            let mut relay = Relay::new(s.clone(), seed * 10_000 + i).expect("usable settings");
+            relay.handle(now, &[Event::CachedList(list.clone())], &mut Vec::new());
+            relay
+        };
+        Return {
+            relays: (0..u64::from(relays)).map(relay).collect(),
+            s,
+            listed,
+            away,
+            now,
+            down: false,
+            back: None,
+            came: VecDeque::new(),
+            worst: (0.0, 0, 0.0),
+            out: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            next: 0,
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// What the endpoint may get in a window now, once it is back.
+    fn budget(&self) -> Option<f64> {
+        let warmed = (self.now - self.back?) as f64 / self.s.warm_after as f64;
+        let can = self.listed * warmth(self.s.cold_share, warmed) * self.s.overload_for as f64 / SEC as f64;
+        (warmed < 1.0).then_some(self.s.overload_factor * can)
+    }
+
+    fn called(&mut self, endpoint: Endpoint) -> (Time, Outcome) {
+        if self.down && endpoint <= common::at(self.away) {
+            return (CALL.1, Outcome::ConnectFailed);
+        }
+        if endpoint != common::at(1) {
+            return (CALL.0, Outcome::Ok);
+        }
+        let Some(n) = self.budget() else { return (CALL.0, Outcome::Ok) };
+        self.came.push_back(self.now);
+        self.came.retain(|at| at + self.s.overload_for > self.now);
+        let roots = if n < 30.0 { 3.0 } else { 2.0 };
+        let part = self.came.len() as f64 / (n + roots * n.sqrt() + roots);
+        if part > self.worst.0 {
+            self.worst = (part, self.came.len(), n);
+        }
+        (CALL.0, Outcome::Ok)
+    }
+
+    fn give(&mut self, relay: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.relays[relay].handle(self.now, &[event], &mut actions);
+        for a in actions {
+            let Action::Send { id, endpoint, .. } = a else { continue };
+            *self.attempts.entry(id).or_insert(0) += 1;
+            let (took, outcome) = self.called(endpoint);
+            self.out.insert((self.now + took, relay, id), outcome);
+        }
+    }
+
+    /// Lets time pass, with so many messages a second that come to relays by chance.
+    fn pass(&mut self, seconds: u64, rate: f64) {
+        for _ in 0..seconds * SEC / STEP {
+            self.now += STEP;
+            if self.random.f64() < rate * STEP as f64 / SEC as f64 {
+                self.next += 1;
+                let m = Message { id: self.next, tenant: 0, class: 0, key: 0, ttl: TTL, dest: 1 };
+                let relay = self.random.usize(0..self.relays.len());
+                self.give(relay, Event::Arrived(m));
+            }
+            while let Some((&(at, relay, id), _)) =
+                self.out.first_key_value().filter(|(k, _)| k.0 <= self.now)
+            {
+                let outcome = self.out.remove(&(at, relay, id)).expect("there");
+                let finished = outcome == Outcome::Ok;
+                let (attempt, took) = (self.attempts[&id] - 1, if finished { CALL.0 } else { CALL.1 });
+                self.give(relay, Event::Ended { id, attempt, outcome, took, finished, report: Vec::new() });
+            }
+            (0..self.relays.len()).for_each(|r| self.give(r, Event::Woken));
+        }
+    }
+
+    /// Up, down for so long, back until it is warm. What came in the worst window.
+    fn play(&mut self, down: u64, rate: f64) -> (f64, usize, f64) {
+        self.pass(10, rate);
+        self.down = true;
+        self.pass(down, rate);
+        (self.down, self.back) = (false, Some(self.now));
+        self.pass(14, rate);
+        self.worst
+    }
+}
+
+/// The plays of 1 to 100 relays in which an endpoint that was down for so many seconds got more than it bears.
+fn over_the_bound(down: u64) -> Vec<String> {
+    let loads = [(4.0, 0.8), (10.0, 0.8), (10.0, 2.5), (40.0, 1.5)];
+    let mut over = Vec::new();
+    for relays in [1, 3, 9, 10, 30, 100] {
+        // Endpoints of the destination, and those of them that go down.
+        for shape in [(1, 1), (2, 1), (2, 2)] {
+            for (seed, (listed, load)) in loads.into_iter().enumerate() {
+                let mut play = Return::new(relays, shape, listed, seed as u64 + 1);
+                let worst = play.play(down, listed * load);
+                let seen = format!(
+                    "{relays} relays, {shape:?}, {listed} listed, load {load}, down {down} s: {worst:.2?}"
+                );
+                println!("{seen}");
+                over.extend((worst.0 > 1.0).then_some(seen));
+            }
+        }
+    }
+    over
+}
+
+// What failed for less than one and a half windows (4.5 s here) is taken for chance or a slow spell and not for an outage (`brief` in
+// src/health.rs): after that no budget is kept, and the bound is not either.
+#[test]
+fn relays_keep_the_bound_of_an_endpoint_that_returns_after_an_outage() {
+    for down in [6, 10, 25] {
+        let over = over_the_bound(down);
+        assert!(over.is_empty(), "{over:#?}");
+    }
+}
