Split office.rs into one module for each of its jobs; moves only

Change: what the leader alone does stays in `office.rs` with its state, its ticks and what it makes of the record; `rules`, `sessions`, `announce`, `orders`, `decide`, `capacity` and `status` have one job each.

Seen: the words of the files before and after are the same, but for imports, module lines, `pub(super)`, one `impl Office` for each file, and paths that imports shorten; counted by a comparison of all their tokens.

--- /dev/null
+++ b/src/keeper/office/orders.rs
@@ -0,0 +1,173 @@
+//! Orders of operators: checked, proposed, and answered when the record has them.
+
+use super::{Asked, Line, Office, Out, Sought};
+use crate::keeper::policy::register::Change;
+use crate::keeper::policy::rollout::Roll;
+use crate::keeper::record::{Command, Phase, Record, Wish};
+use crate::keeper::table::switch::Switch;
+use crate::keeper::wire::{FromPerson, TableOrder, ToPerson, ZoneWish};
+use crate::Time;
+
+/// Orders of people that wait for the record, at the most.
+const MOST_WAITING: usize = 100;
+
+impl Office {
+    /// An operator orders something over a line; answered at once, or when the record has it. Of the status, what the office does not
+    /// know (site, keepers) is left for the driver to fill in.
+    pub fn order(&mut self, now: Time, line: Line, word: &FromPerson, record: &Record, out: &mut Vec<Out>) {
+        let (zone, wish, for_s) = match word {
+            FromPerson::Zone { zone, order, for_s } => (zone, *order, *for_s),
+            FromPerson::Status => {
+                out.push(Out::Answer(line, ToPerson::Status(Box::new(self.status(record)))));
+                return;
+            }
+            FromPerson::Policies => {
+                let status = Box::new(self.roll.status(now, record));
+                out.push(Out::Answer(line, ToPerson::Policies(status)));
+                return;
+            }
+            FromPerson::PastPolicies => {
+                out.push(Out::Answer(line, ToPerson::PastPolicies(Roll::history(record))));
+                return;
+            }
+            FromPerson::Policy { number } => {
+                let held = record.policies.texts.get(number);
+                let answer = match held {
+                    Some(t) => ToPerson::Policy { number: *number, print: t.print, text: t.text.clone() },
+                    None => ToPerson::Refused(format!("the record has no text of policy {number}")),
+                };
+                out.push(Out::Answer(line, answer));
+                return;
+            }
+            FromPerson::Propose { .. } | FromPerson::Halt { .. } | FromPerson::Resume | FromPerson::Back => {
+                self.order_policy(now, line, word, record, out);
+                return;
+            }
+            FromPerson::Table(word) => {
+                self.order_table(now, line, word, record, out);
+                return;
+            }
+            FromPerson::Add { .. } | FromPerson::Remove { .. } => {
+                out.push(Out::Answer(
+                    line,
+                    ToPerson::Refused("keepers are not the office's to change".into()),
+                ));
+                return;
+            }
+        };
+        self.lists.settle();
+        let stands = record.zones.get(zone);
+        let word = stands.and_then(|z| z.wish);
+        let phase = stands.map_or(Phase::Used, |z| z.phase);
+        let refusal = if self.lists.count(zone) == 0 && stands.is_none() {
+            Some(format!("no list names a zone {zone:?}"))
+        } else if !record.has_room(zone) {
+            Some("the record names as many zones as it may".into())
+        } else if wish == ZoneWish::Leave && phase == Phase::Used {
+            self.may_leave(zone, record).err()
+        } else {
+            None
+        };
+        // What stands already is not written again.
+        let same = match wish {
+            ZoneWish::Free => word.is_none(),
+            _ => for_s == 0 && word == Some(Wish { what: wish, until_ms: 0 }),
+        };
+        let answer = match refusal {
+            Some(why) => ToPerson::Refused(why),
+            None if same => ToPerson::Done(record.version),
+            None if self.persons.len() >= MOST_WAITING => {
+                ToPerson::Refused("too many orders wait; again in a second".into())
+            }
+            None => {
+                // The record's clock may be a beat behind.
+                let beat = if for_s == 0 { 0 } else { u64::from(self.rules.beat_ms) };
+                let for_ms = for_s.saturating_mul(1_000).saturating_add(beat);
+                let command = Command::Wish { zone: zone.clone(), wish, for_ms };
+                out.push(Out::Propose(command.clone()));
+                self.persons.push_back((line, command, now));
+                return;
+            }
+        };
+        out.push(Out::Answer(line, answer));
+    }
+
+    /// An order on policies, given first at some time: proposed on the turn that stands.
+    fn order_policy(&mut self, at: Time, line: Line, word: &FromPerson, record: &Record, out: &mut Vec<Out>) {
+        let answer = match self.roll.order(word, record) {
+            Err(why) => ToPerson::Refused(why),
+            Ok(None) => ToPerson::Done(record.version),
+            Ok(Some(_)) if self.asked.len() >= MOST_WAITING => {
+                ToPerson::Refused("too many orders wait; again in a second".into())
+            }
+            Ok(Some(change)) => {
+                out.push(policy(record, change.clone()));
+                let (word, base) = (word.clone(), record.policies.turn);
+                self.asked.push(Asked { line, word, base, change, at });
+                return;
+            }
+        };
+        out.push(Out::Answer(line, answer));
+    }
+
+    /// An order on the federation and its table: answered at once, or when the federation's record shows it.
+    fn order_table(&mut self, now: Time, line: Line, word: &TableOrder, record: &Record, out: &mut Vec<Out>) {
+        let known = self.known.as_ref();
+        let none = || ToPerson::Refused("this site is in no federation".into());
+        let answer = match (word, known) {
+            (TableOrder::Status, Some(known)) => {
+                ToPerson::Federation(Box::new(self.switch.status(now, record, known)))
+            }
+            (TableOrder::History, Some(known)) => ToPerson::PastTables(Switch::history(known)),
+            (TableOrder::Status | TableOrder::History, None) => none(),
+            (TableOrder::Text { number }, _) => match Switch::text(*number, record, known) {
+                Some((number, print, text)) => ToPerson::Table { number, print, text },
+                None => ToPerson::Refused(format!("no text of table {number} is held")),
+            },
+            _ => match self.switch.order(word, record, known) {
+                Err(why) => ToPerson::Refused(why),
+                Ok(None) => ToPerson::Done(known.map_or(0, |k| k.record.version)),
+                Ok(Some(_)) if self.sought.len() >= MOST_WAITING => {
+                    ToPerson::Refused("too many orders wait; again in a second".into())
+                }
+                Ok(Some(command)) => {
+                    out.push(Out::Federation(command.clone()));
+                    self.sought.push(Sought { line, command, at: now });
+                    return;
+                }
+            },
+        };
+        out.push(Out::Answer(line, answer));
+    }
+
+    /// A change of policies was applied, or was void.
+    pub(super) fn changed_policies(
+        &mut self,
+        now: Time,
+        index: u64,
+        change: &Change,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
+        self.roll.applied(now, index, change, record);
+        let stands = record.policies.at == index;
+        let (late, wait): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.asked).into_iter().partition(|a| a.base < record.policies.turn);
+        self.asked = wait;
+        for a in late {
+            match stands && a.base + 1 == record.policies.turn && a.change == *change {
+                true => out.push(Out::Answer(a.line, ToPerson::Done(index))),
+                // Another change came first: it is looked at anew.
+                false => self.order_policy(a.at, a.line, &a.word, record, out),
+            }
+        }
+        if stands {
+            self.say_all_policies(now, record, out);
+        }
+    }
+}
+
+/// A change of policies, based on the turn that stands.
+pub(super) fn policy(record: &Record, change: Change) -> Out {
+    Out::Propose(Command::Policy { base: record.policies.turn, change: Box::new(change) })
+}
--- /dev/null
+++ b/src/keeper/office/sessions.rs
@@ -0,0 +1,226 @@
+//! Sessions of senders: how one begins, what an agent reports in it, how its lease is renewed, and how it ends.
+
+use super::orders::policy;
+use super::{longer, Joining, Line, Office, Out, Session, AGAIN};
+use crate::keeper::ears::OFFERS;
+use crate::keeper::record::{Command, Record};
+use crate::keeper::wire::{FromAgent, Grant, Print, ToAgent};
+use crate::Time;
+
+/// Counts of a report that are read, at the most: 50 zones with 80 destinations.
+const MOST_SEEN: usize = 4_000;
+/// Reports a second of an agent.
+const REPORTS: f32 = 5.0;
+/// A sender's part of the traffic may be so many times the even one: a fifth of a fleet sees three to five times it, few see more.
+const UNEVEN: f32 = 20.0;
+
+/// What a session begins with.
+struct Opens<'a> {
+    sender: &'a String,
+    boot: u64,
+    own: &'a String,
+    has: u64,
+    stored: Option<&'a [(u64, Print)]>,
+}
+
+impl Office {
+    pub(super) fn meet(
+        &mut self,
+        sender: &str,
+        boot: u64,
+        own: &str,
+        line: Option<Line>,
+        until: Time,
+        has: u64,
+    ) {
+        self.forget(sender);
+        let id = self.next_id;
+        self.next_id = self.next_id.wrapping_add(1);
+        self.names.insert(id, sender.into());
+        self.evidence.meet(id, own);
+        let session =
+            Session { id, boot, line, until, report: 0, owed: None, has, told: (0, 0), lapsing: false };
+        self.sessions.insert(sender.into(), session);
+    }
+
+    pub(super) fn forget(&mut self, sender: &str) {
+        if let Some(s) = self.sessions.remove(sender) {
+            self.names.remove(&s.id);
+            self.evidence.part(s.id);
+            self.lists.part(s.id);
+            self.roll.part(sender);
+            self.switch.part(sender);
+        }
+    }
+
+    /// An agent says something over a line.
+    pub fn hear(&mut self, now: Time, line: Line, word: &FromAgent, record: &Record, out: &mut Vec<Out>) {
+        match word {
+            FromAgent::Open { sender, boot, zone, has, stored } => {
+                let (boot, own, has, stored) = (*boot, zone, *has, stored.as_deref());
+                self.open(now, line, Opens { sender, boot, own, has, stored }, record, out);
+            }
+            FromAgent::Tell { report, has, seen, listed, wants, health } => {
+                self.lines.get(&line).into_iter().for_each(|name| self.switch.reports(name));
+                let known = self.lines.get(&line).and_then(|name| self.sessions.get_mut(name));
+                let Some(session) = known.filter(|s| !s.lapsing && s.line == Some(line)) else {
+                    out.push(Out::Say(line, ToAgent::Unknown));
+                    return;
+                };
+                session.has = *has;
+                let id = session.id;
+                if *report > session.report {
+                    session.report = *report;
+                    let seen = &seen[..seen.len().min(MOST_SEEN)];
+                    let even = UNEVEN / self.sessions.len().max(1) as f32;
+                    let lists = &self.lists;
+                    self.evidence.hear(now, id, seen, |zone, dest| {
+                        let listed = lists.route(zone, dest)?;
+                        let most = listed.rate as f32 / REPORTS * even.min(0.5);
+                        Some(if most > 0.0 { most.max(1.0) } else { f32::INFINITY })
+                    });
+                    seen.iter().for_each(|s| self.cold.saw(now, id, &s.zone, s.dest, &s.counts));
+                    if let Some(listed) = listed {
+                        self.lists.tell(id, listed);
+                    }
+                    self.cold.want(now, id, *report, &wants[..wants.len().min(MOST_SEEN)]);
+                    let member = self.lines.get(&line).and_then(|name| record.roster.get(name));
+                    if let Some(member) = member {
+                        self.roll.hear(now, &member.zone, health, record);
+                    }
+                }
+                self.renew(now, line, *report, record, out);
+                self.hand_out(now, out);
+            }
+            FromAgent::Stored { number, refused } => match self.speaks(line) {
+                Some(sender) => self.roll.stored(&sender, *number, refused.as_deref(), record),
+                None => out.push(Out::Say(line, ToAgent::Unknown)),
+            },
+            FromAgent::Rules { turn } => match self.speaks(line) {
+                Some(sender) => {
+                    let change = self.roll.rules(now, &sender, *turn, record);
+                    out.extend(change.map(|change| policy(record, change)));
+                }
+                None => out.push(Out::Say(line, ToAgent::Unknown)),
+            },
+            FromAgent::Table(word) => self.hear_tables(now, line, word, record, out),
+            FromAgent::Leave => {
+                let name = self.lines.remove(&line);
+                let session = name.as_ref().and_then(|name| self.sessions.get_mut(name));
+                if let (Some(sender), Some(session)) = (name.clone(), session) {
+                    (session.lapsing, session.line) = (true, None);
+                    let boot = session.boot;
+                    // The lapse is proposed again after this time, should it be lost.
+                    session.until = now + AGAIN;
+                    out.push(Out::Propose(Command::Lapse { sender, boot }));
+                }
+            }
+        }
+    }
+
+    /// The sender that has a session on a line.
+    pub(super) fn speaks(&self, line: Line) -> Option<String> {
+        let name = self.lines.get(&line)?;
+        self.sessions.get(name).filter(|s| !s.lapsing && s.line == Some(line)).map(|_| name.clone())
+    }
+
+    /// The line on which a sender that has a session is spoken to.
+    pub(super) fn line_of(&self, sender: &str) -> Option<Line> {
+        self.sessions.get(sender).filter(|s| !s.lapsing)?.line
+    }
+
+    fn open(&mut self, now: Time, line: Line, opens: Opens<'_>, record: &Record, out: &mut Vec<Out>) {
+        let Opens { sender, boot, own, has, stored } = opens;
+        let live = record.roster.get(sender).is_some_and(|m| m.live && m.boot == boot && m.zone == *own);
+        let session = self.sessions.get_mut(sender).filter(|s| live && s.boot == boot && !s.lapsing);
+        if let Some(session) = session {
+            if let Some(old) = session.line.replace(line).filter(|old| *old != line) {
+                self.lines.remove(&old);
+            }
+            (session.has, session.told) = (has, (0, 0));
+            self.lines.insert(line, sender.clone());
+            self.roll.meet(sender, boot, stored);
+            self.switch.meet(sender, boot);
+            // Its lease never comes before what is in force.
+            self.say_policies(now, sender, record, &mut { OFFERS }, out);
+            self.renew(now, line, 0, record, out);
+            return;
+        }
+        let full = self.sessions.len() + self.joining.len() >= self.rules.most_senders;
+        if full && !self.sessions.contains_key(sender) && !self.joining.contains_key(sender) {
+            log::warn!("a sender finds no room sender={sender} most={}", self.rules.most_senders);
+            out.push(Out::Say(line, ToAgent::Elsewhere(None)));
+            return;
+        }
+        let waiting = self.joining.get(sender).filter(|j| j.boot == boot && now < j.at + AGAIN);
+        let at = waiting.map_or(now, |j| j.at);
+        if waiting.is_none() {
+            // A lapse that came after this would end what begins now.
+            let lapsing = self.sessions.get_mut(sender).filter(|s| s.lapsing);
+            lapsing.into_iter().for_each(|s| s.until = now + 60 * AGAIN);
+            out.push(Out::Propose(Command::Join { sender: sender.clone(), boot, zone: own.clone() }));
+        }
+        let stored = stored.map(<[_]>::to_vec);
+        let joining = Joining { boot, line, has, at, stored, tables: None };
+        self.joining.insert(sender.clone(), joining);
+    }
+
+    /// Renews a session, or owes it until the office is sure of itself.
+    pub(super) fn renew(&mut self, now: Time, line: Line, report: u64, record: &Record, out: &mut Vec<Out>) {
+        let sure = now < self.sure_until && !self.switch.bars(record);
+        let (lease_ms, until) = (self.rules.lease_ms, now + longer(self.rules.lease_ms));
+        let Some(session) = self.lines.get(&line).and_then(|name| self.sessions.get_mut(name)) else {
+            return;
+        };
+        if sure {
+            session.until = session.until.max(until);
+            session.owed = None;
+            out.push(Out::Say(line, ToAgent::Renewed { report, lease_ms }));
+        } else {
+            session.owed = Some(report);
+        }
+        view(now, session, record, out);
+    }
+
+    pub(super) fn hand_out(&mut self, now: Time, out: &mut Vec<Out>) {
+        let (names, sessions) = (&self.names, &self.sessions);
+        self.cold.grant(now, |id, grant: Grant| {
+            let session = names.get(&id).and_then(|name| sessions.get(name)).filter(|s| !s.lapsing);
+            if let Some(line) = session.and_then(|s| s.line) {
+                out.push(Out::Say(line, ToAgent::Grant(grant)));
+            }
+        });
+    }
+
+    /// A line is gone; the session goes on until its lease lapses.
+    pub fn hung_up(&mut self, line: Line) {
+        if let Some(name) = self.lines.remove(&line) {
+            let session = self.sessions.get_mut(&name).filter(|s| s.line == Some(line));
+            session.into_iter().for_each(|s| s.line = None);
+        }
+        self.joining.retain(|_, j| j.line != line);
+        self.persons.retain(|(l, ..)| *l != line);
+        self.asked.retain(|a| a.line != line);
+        self.sought.retain(|s| s.line != line);
+    }
+
+    /// Answers what was owed until the office is sure of itself.
+    pub(super) fn pay(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
+        if now >= self.sure_until {
+            return;
+        }
+        let owed = self.sessions.values().filter(|s| !s.lapsing);
+        let owed: Vec<_> = owed.filter_map(|s| Some((s.line?, s.owed?))).collect();
+        owed.iter().for_each(|(line, report)| self.renew(now, *line, *report, record, out));
+    }
+}
+
+/// Says the record to a sender that lacks some of it; once, and again where it does not come to have it in half a second.
+pub(super) fn view(now: Time, session: &mut Session, record: &Record, out: &mut Vec<Out>) {
+    let (told, at) = session.told;
+    let again = told < record.changed || told == 0 || now >= at + AGAIN / 2;
+    if let Some(line) = session.line.filter(|_| !session.lapsing && again && record.is_news_to(session.has)) {
+        session.told = (record.version, now);
+        out.push(Out::Say(line, ToAgent::View(record.view())));
+    }
+}
