Split driver.rs into one module for each of its jobs; moves only

Change: `start`, `accept`, `transport`, `peers`, `formation`, `event_loop`, `receive`, `requests` and `trouble` have one job each; what they share stays in `driver.rs`. `sites.rs` imports from them.

Seen: the words of the files before and after are the same, but for imports, module lines, `pub(super)` and one `impl Driver` for each file; counted by a comparison of all their tokens. What a log names as its source is the module, so its lines come from `raildeal::keeper::driver::peers` and so on; a filter by `raildeal::keeper` catches them as before.

--- /dev/null
+++ b/src/keeper/driver/event_loop.rs
@@ -0,0 +1,236 @@
+//! The loop of the one task that owns all decisions: takes what came in, advances time, and works until nothing is left to be done.
+
+use super::peers::send;
+use super::{Driver, In, Stage, LATER};
+use crate::keeper::group::{Event, ELECTION};
+use crate::keeper::log::{Keep, Piece, Unsaved};
+use crate::keeper::office::{Office, Out};
+use crate::keeper::record::Command;
+use crate::keeper::table::voice::Voice;
+use crate::keeper::wire::ToPerson;
+use async_channel::Receiver;
+use futures_lite::FutureExt;
+use std::time::{Duration, Instant};
+
+/// At its end a leader waits so long for another one.
+const FAREWELL: Duration = Duration::from_millis(400);
+
+/// What was to be written, and what came of it.
+type Wrote = (Piece, Result<(), Unsaved>);
+
+impl Driver {
+    /// Serves until something is fatal, it was removed, or the time is up.
+    pub(super) async fn go_on(
+        &mut self,
+        coming: &Receiver<In>,
+        until: Option<Instant>,
+    ) -> Result<(), String> {
+        enum Next {
+            Wrote(Wrote),
+            Came(In),
+            Tick,
+        }
+        let tick = Duration::from_millis(self.config.tick_ms);
+        let wheel = self.door.wheel.clone();
+        while !self.removed && until.is_none_or(|at| Instant::now() < at) {
+            let (keep, at) = (&mut self.keep, self.ticked + tick);
+            let wrote = async {
+                let wrote = keep.back().await.map_err(|e| format!("state: {e}"))?;
+                Ok::<_, String>(Next::Wrote(wrote))
+            };
+            let came = async { Ok(Next::Came(coming.recv().await.map_err(|e| e.to_string())?)) };
+            let due = async {
+                wheel.until(at).await;
+                Ok(Next::Tick)
+            };
+            let next = wrote.or(came).or(due).await?;
+            // Time goes before words: one that stood still must not act on what it believed before.
+            self.catch_up(tick);
+            match next {
+                Next::Wrote(wrote) => self.wrote(wrote)?,
+                Next::Came(word) => self.came(word).await?,
+                Next::Tick => {}
+            }
+            self.turn()?;
+        }
+        Ok(())
+    }
+
+    /// Ticks that are due. After twice the time of an election, a leader that heard nobody leads no more.
+    fn catch_up(&mut self, tick: Duration) {
+        let due = (self.ticked.elapsed().as_nanos() / tick.as_nanos()) as u32;
+        if due == 0 {
+            return;
+        }
+        self.ticked += tick * due;
+        let now = self.now();
+        let Stage::Takes(group) = &mut self.stage else { return };
+        for _ in 0..due.min(2 * ELECTION as u32) {
+            group.tick();
+        }
+        let mut out = Vec::new();
+        if let Some(office) = self.office.as_mut().filter(|_| group.leads_for_certain()) {
+            office.tick(now, group.record(), &mut out);
+        }
+        self.carry_out(out);
+        self.tick_voice();
+    }
+
+    /// What came of writing.
+    fn wrote(&mut self, (piece, result): Wrote) -> Result<(), String> {
+        let wants_base = self.keep.here().is_some_and(Keep::wants_base);
+        let who = self.who();
+        let Stage::Takes(group) = &mut self.stage else { return Ok(()) };
+        match result {
+            Ok(()) => {
+                group.saved();
+                if self.full.take().is_some() {
+                    log::info!("{who}: writes again");
+                }
+                if wants_base {
+                    group.compact();
+                }
+                Ok(())
+            }
+            Err(Unsaved::Later(e)) => {
+                if self.full.is_none() {
+                    log::error!("{who}: acknowledges nothing: {e}");
+                }
+                let since = *self.full.get_or_insert_with(Instant::now);
+                // Others may have room.
+                if since.elapsed() > Duration::from_millis(self.config.tick_ms) * ELECTION as u32 {
+                    let _ = group.hand_on();
+                }
+                self.again = Some((piece, Instant::now() + LATER));
+                Ok(())
+            }
+            Err(e) => Err(format!("state: {e}")),
+        }
+    }
+
+    /// Goes on until nothing more is to be done.
+    pub(super) fn turn(&mut self) -> Result<(), String> {
+        loop {
+            let who = self.who();
+            let now = self.now();
+            let Stage::Takes(group) = &mut self.stage else { return Ok(()) };
+            let mut events = Vec::new();
+            let messages = group.work(&mut events).map_err(|e| e.to_string())?;
+            let idle = messages.is_empty() && events.is_empty();
+            send(group, &self.outgoing, messages);
+            let (mut out, mut said) = (Vec::new(), Vec::new());
+            let mut members = false;
+            for event in events {
+                match event {
+                    Event::Applied(index, command) => {
+                        let told = format!("{command:?}");
+                        if let Command::Beat { term, .. } = &command {
+                            // An older one that is only now read says nothing of when its leader lived.
+                            if *term == group.term() && group.leader() != 0 {
+                                self.led = Some(now);
+                            }
+                        }
+                        let kind = told.split([' ', '(', '{']).next().unwrap_or_default();
+                        let print = crc32fast::hash(told.as_bytes());
+                        log::debug!("{who}: applied {index} {kind} {print:08x}");
+                        if let Some(voice) = &mut self.voice {
+                            voice.applied(now, &command, group.record(), &mut said);
+                        }
+                        if let Some(office) = &mut self.office {
+                            office.applied(now, index, &command, group.record(), &mut out);
+                        }
+                    }
+                    Event::Member(index, keeper) => {
+                        log::info!("{who}: keepers {:?} by entry {index}", group.voters());
+                        members = true;
+                        self.removed = group.held().removed.contains(&group.me());
+                        let came = group.held().members.contains_key(&keeper);
+                        if let Some(changing) = self.changing.as_mut().filter(|c| c.1 == keeper) {
+                            changing.2 = Some(index).filter(|_| came);
+                            if !came {
+                                out.push(Out::Answer(changing.0, ToPerson::Done(index)));
+                                self.changing = None;
+                            }
+                        }
+                    }
+                    Event::Restored(index) => {
+                        log::info!("{who}: has the record up to {index} from another keeper");
+                        members = true;
+                    }
+                    Event::Leads(leader, term) if leader != 0 && leader != group.me() => {
+                        log::info!("{who}: follows {leader} in term {term}");
+                    }
+                    Event::Leads(..) => {}
+                }
+            }
+            let has = |(_, keeper, index): &mut (_, u64, Option<u64>)| {
+                index.is_some_and(|index| group.has(*keeper, index))
+            };
+            if let Some((line, _, Some(index))) = self.changing.take_if(has) {
+                out.push(Out::Answer(line, ToPerson::Done(index)));
+            }
+            let (leads, term) = (group.is_ready_to_lead(), group.term());
+            let (mut begins, mut ends) = (false, false);
+            if leads && self.office.is_none() {
+                begins = true;
+                log::info!("{who}: leads in term {term}");
+                let office = Office::new(self.config.rules.clone(), term, now, group.record());
+                self.office = Some(office.led(now, self.led));
+            }
+            if group.leader() != group.me() && self.office.take().is_some() {
+                log::info!("{who}: leads no more");
+                ends = true;
+                self.changing = None;
+                let elsewhere = ToPerson::Elsewhere(Some(group.leader()).filter(|id| *id != 0));
+                let asked = std::mem::take(&mut self.asked);
+                out.extend(asked.into_iter().map(|line| Out::Answer(line, elsewhere.clone())));
+            }
+            let due = |again: &mut (Piece, Instant)| again.1 <= Instant::now();
+            let piece = self.keep.here().and_then(|_| match self.again.take_if(due) {
+                Some((piece, _)) => Some(piece),
+                // Nothing, while something is to be written again.
+                None => group.piece(),
+            });
+            let quiet = out.is_empty() && said.is_empty() && piece.is_none();
+            self.carry_out(out);
+            if let Some(piece) = piece {
+                self.keep.lend(piece).map_err(|_| "the log is lent")?;
+            }
+            if ends {
+                self.end_voice();
+            }
+            if begins {
+                self.begin_voice();
+            }
+            if !said.is_empty() {
+                self.carry_voice(said);
+                self.connect_sites();
+            }
+            self.tell_office(false);
+            if members {
+                self.connect();
+            }
+            if idle && quiet {
+                return Ok(());
+            }
+        }
+    }
+
+    /// A leader asks another one to lead before it ends.
+    pub(super) async fn farewell(&mut self, coming: &Receiver<In>) -> Result<(), String> {
+        // The federation has another leader before the site has.
+        if self.voice.as_mut().is_some_and(Voice::hand_on) {
+            self.tick_voice();
+            self.go_on(coming, Some(Instant::now() + FAREWELL)).await?;
+        }
+        let handed = match &mut self.stage {
+            Stage::Takes(group) if group.leader() == group.me() => group.hand_on().is_ok(),
+            _ => false,
+        };
+        if handed {
+            self.turn()?;
+            self.go_on(coming, Some(Instant::now() + FAREWELL)).await?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/keeper/driver/formation.rs
@@ -0,0 +1,54 @@
+//! What a replica does before it takes part in the group: it meets the others and writes down whom it knows.
+
+use super::{draw, Driver, Stage, LATER};
+use crate::keeper::group::Group;
+use crate::keeper::log::{Piece, Unsaved};
+
+impl Driver {
+    /// Writes down what an empty folder begins with.
+    pub(super) async fn first(&mut self) -> Result<(), String> {
+        let Stage::Begins(begin) = &self.stage else { return self.turn() };
+        let piece = Piece::Base(Box::new(begin.base().clone()));
+        self.write_now(piece).await?;
+        // One that is alone waits for nobody.
+        self.begins().await?;
+        if let Stage::Begins(begin) = &self.stage {
+            log::info!("{}: begins when it and keepers {:?} know each other", self.who(), begin.missing());
+        }
+        self.turn()
+    }
+
+    /// Writes something down while nothing else goes on: before this keeper takes part.
+    async fn write_now(&mut self, mut piece: Piece) -> Result<(), String> {
+        loop {
+            self.keep.lend(piece).map_err(|_| "the log is lent")?;
+            let (back, result) = self.keep.back().await.map_err(|e| format!("state: {e}"))?;
+            match result {
+                Ok(()) => return Ok(()),
+                Err(Unsaved::Later(e)) => log::warn!("{}: not written yet: {e}", self.who()),
+                Err(e) => return Err(format!("state: {e}")),
+            }
+            piece = back;
+            self.door.wheel.sleep(LATER).await;
+        }
+    }
+
+    /// Writes down whom it knows.
+    pub(super) async fn write_down(&mut self) -> Result<(), String> {
+        let Stage::Begins(begin) = &self.stage else { return Ok(()) };
+        self.write_now(Piece::Base(Box::new(begin.base().clone()))).await
+    }
+
+    /// Takes part, when all know each other.
+    pub(super) async fn begins(&mut self) -> Result<(), String> {
+        let Stage::Begins(begin) = &self.stage else { return Ok(()) };
+        let peers = self.config.peers.iter().map(|(id, at)| (*id, at.to_string()));
+        let at = peers.chain([(self.config.keeper, self.config.listen.to_string())]).collect();
+        if let Some(base) = begin.finish(&at) {
+            log::info!("{}: all keepers know each other, begins", self.who());
+            let group = Group::new(base, draw()).map_err(|e| e.to_string())?;
+            self.stage = Stage::Takes(Box::new(group));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/keeper/driver/peers.rs
@@ -0,0 +1,178 @@
+//! Connections to the other replicas of the site, one in each direction.
+
+use super::transport::{again, hear_words, send_words, within, Reach, INTRODUCTION, STUCK};
+use super::{Door, Driver, In, Stage, PEER_QUEUE};
+use crate::keeper::frames::{self, Broken};
+use crate::keeper::group::Group;
+use crate::keeper::log::BASE_MOST;
+use crate::keeper::wire::{Hello, Who, MOST, VERSION};
+use async_channel::{Receiver, Sender};
+use async_executor::Task;
+use async_io::Async;
+use protobuf::Message as _;
+use raft::eraftpb::{Message, MessageType};
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Longest frame between keepers: a snapshot, and what is said with it.
+const PEER_MOST: usize = BASE_MOST + 64 * 1024;
+
+/// What keepers say to each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) enum Peer {
+    /// The folder of the one that connected.
+    Me { incarnation: u64 },
+    /// It is known, and written down. And the folder of the one that answers.
+    Known { incarnation: u64 },
+    /// It is not heard, and why.
+    Refused(String),
+    /// A sign of life.
+    Pulse,
+    /// A message of the group.
+    Raft(ByteBuf),
+}
+
+/// Another keeper that this one sends to.
+pub(super) struct Outgoing {
+    pub(super) queue: Sender<Vec<u8>>,
+    pub(super) at: SocketAddr,
+    pub(super) reach: Rc<Reach>,
+    /// Ends the line when it is dropped.
+    pub(super) _task: Task<()>,
+}
+
+/// Tells a keeper that came to the wrong one what it came to: it would try again without a word.
+pub(super) async fn shut_out(
+    door: &Door,
+    mut stream: Async<TcpStream>,
+    why: Broken,
+    what: String,
+) -> Result<(), Broken> {
+    let word = Peer::Refused(format!("it came to a keeper {what}, form {VERSION}"));
+    within(&door.wheel, STUCK, frames::write(&mut stream, &word, PEER_MOST)).await?;
+    Err(why)
+}
+
+/// Another keeper's line: it sends, and this one says that it lives.
+pub(super) async fn hear_keeper(door: Door, mut stream: Async<TcpStream>, keeper: u64) -> Result<(), Broken> {
+    let me = within(&door.wheel, INTRODUCTION, frames::read(&mut stream, PEER_MOST)).await?;
+    let Peer::Me { incarnation } = me else { return Ok(()) };
+    let (answer, answered) = async_channel::bounded(1);
+    let (alive, ended) = async_channel::bounded::<()>(1);
+    let came = In::Came { keeper, incarnation, answer, alive };
+    let _ = door.inbox.send(came).await;
+    let Ok(word) = answered.recv().await else { return Ok(()) };
+    within(&door.wheel, STUCK, frames::write(&mut stream, &word, PEER_MOST)).await?;
+    if !matches!(word, Peer::Known { .. }) {
+        return Ok(());
+    }
+    let raft = |word| match word {
+        Peer::Raft(bytes) => Ok(In::Raft { keeper, bytes: bytes.into_vec() }),
+        other => Err(Broken::Io(std::io::Error::other(format!("{other:?} from a keeper")))),
+    };
+    hear_words(&door, stream, (&Peer::Pulse, PEER_MOST), &ended, raft).await
+}
+
+/// Introduces itself to another keeper.
+pub(super) async fn introduce(door: &Door, at: SocketAddr) -> Result<(Async<TcpStream>, Peer), Broken> {
+    let meeting = async {
+        let mut stream = Async::<TcpStream>::connect(at).await?;
+        stream.get_ref().set_nodelay(true)?;
+        let hello = Hello { version: VERSION, site: door.site.to_string(), who: Who::Keeper(door.keeper) };
+        frames::write(&mut stream, &hello, MOST).await?;
+        frames::write(&mut stream, &Peer::Me { incarnation: door.incarnation }, PEER_MOST).await?;
+        let word = frames::read(&mut stream, PEER_MOST).await?;
+        Ok((stream, word))
+    };
+    within(&door.wheel, INTRODUCTION, meeting).await
+}
+
+/// Sends to another keeper for as long as that is one.
+async fn send_to(door: Door, keeper: u64, at: SocketAddr, going: Receiver<Vec<u8>>, reach: Rc<Reach>) {
+    let who = format!("keeper {} of {}: keeper {keeper} at {at}", door.keeper, door.site);
+    loop {
+        let ended = async {
+            let (stream, word) = introduce(&door, at).await?;
+            let known = matches!(word, Peer::Known { .. });
+            // What waited for the last line is late by now.
+            while going.try_recv().is_ok() {}
+            reach.up.set(known);
+            let _ = door.inbox.send(In::Answered { keeper, word }).await;
+            if !known {
+                return Ok(());
+            }
+            // One that is not the keeper that it should be is left; another one may answer there by now.
+            send_words::<Peer>(&door, stream, PEER_MOST, &going, &reach.up, || ()).await
+        };
+        let ended: Result<(), Broken> = ended.await;
+        let was_up = reach.up.replace(false);
+        reach.ended(&who, ended, was_up);
+        door.wheel.sleep(again()).await;
+    }
+}
+
+/// Sends messages of the group, each as far as there is a line for it.
+pub(super) fn send(group: &mut Group, outgoing: &BTreeMap<u64, Outgoing>, messages: Vec<Message>) {
+    for message in messages {
+        let (to, snapshot) = (message.to, message.get_msg_type() == MessageType::MsgSnapshot);
+        let line = outgoing.get(&to).filter(|o| o.reach.up.get());
+        let bytes = message.write_to_bytes().map_err(|e| e.to_string());
+        let framed = bytes
+            .and_then(|b| frames::bytes(&Peer::Raft(ByteBuf::from(b)), PEER_MOST).map_err(|e| e.to_string()));
+        let sent = match (framed, line) {
+            (Ok(bytes), Some(line)) => line.queue.try_send(bytes).is_ok(),
+            (Ok(_), None) => false,
+            (Err(e), _) => {
+                log::error!("keeper {}: a message to keeper {to}: {e}", group.me());
+                false
+            }
+        };
+        match (sent, snapshot) {
+            (true, true) => group.snapshot_sent(to),
+            (true, false) => {}
+            (false, snapshot) => group.unreachable(to, snapshot),
+        }
+    }
+}
+
+impl Driver {
+    /// Where a keeper is reached: the file goes before what the group knows.
+    pub(super) fn reached(&self, keeper: u64) -> Option<SocketAddr> {
+        let known = match &self.stage {
+            Stage::Takes(group) => group.held().members.get(&keeper).and_then(|m| m.at.parse().ok()),
+            Stage::Begins(_) => None,
+        };
+        self.config.peers.get(&keeper).copied().or(known)
+    }
+
+    /// Has a line to each other keeper, and to nobody else.
+    pub(super) fn connect(&mut self) {
+        let mut wanted: BTreeSet<u64> = self.config.peers.keys().copied().collect();
+        if let Stage::Takes(group) = &self.stage {
+            let held = group.held();
+            if !held.members.is_empty() {
+                wanted = held.members.keys().copied().collect();
+            }
+        }
+        wanted.remove(&self.config.keeper);
+        let at: BTreeMap<u64, SocketAddr> =
+            wanted.iter().filter_map(|id| Some((*id, self.reached(*id)?))).collect();
+        // One that joins is spoken to from addresses that its file names.
+        let named = self.config.peers.values();
+        *self.allowed.borrow_mut() = at.values().chain(named).map(|at| at.ip().to_canonical()).collect();
+        self.outgoing.retain(|id, o| at.get(id) == Some(&o.at));
+        self.incoming.retain(|id, _| wanted.contains(id));
+        for (keeper, at) in at {
+            if !self.outgoing.contains_key(&keeper) {
+                let (queue, going) = async_channel::bounded(PEER_QUEUE);
+                let reach: Rc<Reach> = Rc::default();
+                let task = send_to(self.door.clone(), keeper, at, going, reach.clone());
+                let task = self.executor.spawn(task);
+                self.outgoing.insert(keeper, Outgoing { queue, at, reach, _task: task });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/keeper/driver/requests.rs
@@ -0,0 +1,180 @@
+//! Requests of agents and operators, and what the leader answers them.
+
+use super::peers::{introduce, Peer};
+use super::{Driver, In, Stage};
+use crate::keeper::frames;
+use crate::keeper::group::Member;
+use crate::keeper::office::{Line, Out};
+use crate::keeper::wire::{FromAgent, FromPerson, Status, TableOrder, ToAgent, ToPerson, MOST};
+use serde::Serialize;
+use std::net::SocketAddr;
+
+impl Driver {
+    /// Does what the office wants.
+    pub(super) fn carry_out(&mut self, out: Vec<Out>) {
+        for what in out {
+            match what {
+                Out::Propose(command) => {
+                    if let Stage::Takes(group) = &mut self.stage {
+                        if let Err(no) = group.propose(&command) {
+                            log::debug!("{}: not proposed: {no}", self.who());
+                        }
+                    }
+                }
+                Out::Say(line, word) => self.say(line, &word),
+                Out::Answer(line, word) => self.answer(line, word),
+                Out::Federation(command) => {
+                    let (now, mut said) = (self.now(), Vec::new());
+                    self.voice.iter_mut().for_each(|voice| voice.command(now, command.clone(), &mut said));
+                    self.carry_voice(said);
+                }
+            }
+        }
+    }
+
+    pub(super) fn say<T: Serialize>(&mut self, line: Line, word: &T) {
+        let Some(queue) = self.lines.get(&line) else { return };
+        let sent = frames::bytes(word, MOST).map_err(|e| e.to_string());
+        let sent = sent.and_then(|bytes| queue.try_send(bytes).map_err(|e| e.to_string()));
+        if let Err(e) = sent {
+            // Its task sees that nobody writes to it any more.
+            log::debug!("{}: line {line} is dropped: {e}", self.who());
+            self.lines.remove(&line);
+        }
+    }
+
+    pub(super) fn answer(&mut self, line: Line, mut word: ToPerson) {
+        self.asked.remove(&line);
+        if let ToPerson::Status(status) = &mut word {
+            self.fill(status);
+        }
+        self.say(line, &word);
+    }
+
+    /// What the driver knows of how things stand.
+    fn fill(&self, status: &mut Status) {
+        (status.site, status.keeper) = (self.config.site.clone(), self.config.keeper);
+        if let Stage::Takes(group) = &self.stage {
+            // One that was elected leads when it knows all that was agreed before.
+            let leads = group.leader() != group.me() || self.office.is_some();
+            (status.leader, status.term) = (if leads { group.leader() } else { 0 }, group.term());
+            status.version = group.record().version;
+            status.keepers = group.voters().to_vec();
+            status.keepers.sort_unstable();
+        }
+        status.trouble = self.trouble();
+    }
+
+    pub(super) fn leader(&self) -> Option<u64> {
+        match &self.stage {
+            Stage::Takes(group) => {
+                // One that leads and may not speak yet, or no more, knows of nobody.
+                Some(group.leader()).filter(|id| *id != 0 && *id != group.me())
+            }
+            Stage::Begins(_) => None,
+        }
+    }
+
+    pub(super) fn agent(&mut self, line: Line, word: &FromAgent) {
+        let now = self.now();
+        let mut out = Vec::new();
+        match (&mut self.stage, &mut self.office) {
+            (Stage::Takes(group), Some(office)) if group.leads_for_certain() => {
+                office.hear(now, line, word, group.record(), &mut out);
+            }
+            _ => out.push(Out::Say(line, ToAgent::Elsewhere(self.leader()))),
+        }
+        self.carry_out(out);
+    }
+
+    pub(super) fn person(&mut self, line: Line, word: FromPerson) {
+        let now = self.now();
+        let elsewhere = ToPerson::Elsewhere(self.leader());
+        let mut out = Vec::new();
+        match (&mut self.stage, &mut self.office) {
+            (Stage::Takes(group), Some(office)) if group.leads_for_certain() => {
+                self.asked.insert(line);
+                match word {
+                    FromPerson::Table(order @ (TableOrder::Off { .. } | TableOrder::Join { .. }))
+                        if self.voice.is_some() =>
+                    {
+                        return self.order_site(line, &order);
+                    }
+                    FromPerson::Add { keeper, at } => return self.ask(line, keeper, at),
+                    FromPerson::Remove { keeper } => match group.remove(keeper) {
+                        Ok(()) => self.changing = Some((line, keeper, None)),
+                        // It was removed before: as ordered.
+                        Err(_) if group.held().removed.contains(&keeper) => {
+                            out.push(Out::Answer(line, ToPerson::Done(group.record().version)));
+                        }
+                        Err(no) => out.push(Out::Answer(line, ToPerson::Refused(no.to_string()))),
+                    },
+                    word => {
+                        office.order(now, line, &word, group.record(), &mut out);
+                        // What the driver knows can be told in any case.
+                        let none = |o: &Out| matches!(o, Out::Answer(l, ToPerson::Refused(_)) if *l == line);
+                        if word == FromPerson::Status && out.iter().any(none) {
+                            out.retain(|o| !none(o));
+                            out.push(Out::Answer(line, ToPerson::Status(Box::default())));
+                        }
+                    }
+                }
+            }
+            // How things stand here may be asked of any keeper.
+            _ if word == FromPerson::Status => {
+                out.push(Out::Answer(line, ToPerson::Status(Box::default())));
+            }
+            _ => out.push(Out::Answer(line, elsewhere)),
+        }
+        self.carry_out(out);
+    }
+
+    /// Asks a keeper that is to be added for its folder.
+    fn ask(&mut self, line: Line, keeper: u64, at: String) {
+        let Stage::Takes(group) = &self.stage else { return };
+        let known = group.held().members.get(&keeper);
+        if known.is_some_and(|m| m.at == at) {
+            // As ordered, already.
+            let word = match group.has(keeper, 1) {
+                true => ToPerson::Done(group.record().version),
+                false => {
+                    ToPerson::Refused(format!("keeper {keeper} was added and has not got the record yet"))
+                }
+            };
+            return self.answer(line, word);
+        }
+        if let Err(no) = group.may_add(keeper) {
+            return self.answer(line, ToPerson::Refused(no.to_string()));
+        }
+        let address = match at.parse::<SocketAddr>() {
+            Ok(address) if !address.ip().is_unspecified() && address.port() != 0 => address,
+            _ => return self.answer(line, ToPerson::Refused(format!("{at:?}: no address with a port"))),
+        };
+        let door = self.door.clone();
+        let asking = async move {
+            let folder = match introduce(&door, address).await {
+                Ok((_, Peer::Known { incarnation })) => Ok(incarnation),
+                Ok((_, Peer::Refused(why))) => Err(why),
+                Ok((_, other)) => Err(format!("it answers {other:?}")),
+                Err(e) => Err(e.to_string()),
+            };
+            let _ = door.inbox.send(In::Asked { line, keeper, at, folder }).await;
+        };
+        self.executor.spawn(asking).detach();
+    }
+
+    pub(super) fn add(&mut self, line: Line, keeper: u64, at: String, folder: Result<u64, String>) {
+        let Stage::Takes(group) = &mut self.stage else { return };
+        let added = match folder {
+            Ok(incarnation) => {
+                let added = group.add(keeper, &Member { at, incarnation });
+                added.map_err(|no| no.to_string())
+            }
+            Err(e) => Err(format!("keeper {keeper} at {at}: {e}")),
+        };
+        match added {
+            Ok(()) => self.changing = Some((line, keeper, None)),
+            Err(e) => self.answer(line, ToPerson::Refused(e)),
+        }
+    }
+}
--- a/src/keeper/driver/sites.rs
+++ b/src/keeper/driver/sites.rs
@@ -3,14 +3,13 @@
 //! A site is reached at whichever of its keepers leads it. The addresses are tried in turn; one that does not lead says who does, where it
 //! knows. A voice of a later term at its site goes before an earlier one, on either side of a line.
 
-use super::{
-    again, draw, frames, hear_words, send_words, within, Door, Driver, Hello, In, Stage, Who, Wrong,
-};
-use super::{INTRODUCTION, MOST, PEER_QUEUE, PULSE, STUCK, VERSION};
-use crate::keeper::frames::Broken;
+use super::transport::{again, hear_words, send_words, within, INTRODUCTION, PULSE, STUCK};
+use super::trouble::Wrong;
+use super::{draw, transport, Door, Driver, In, Stage, PEER_QUEUE};
+use crate::keeper::frames::{self, Broken};
 use crate::keeper::office::Line;
 use crate::keeper::table::voice::{Came, Out, Voice, Word};
-use crate::keeper::wire::TableOrder;
+use crate::keeper::wire::{Hello, TableOrder, Who, MOST, VERSION};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use async_io::Async;
@@ -65,7 +64,7 @@
 /// What is known of the line to another site.
 #[derive(Default)]
 struct Reach {
-    line: super::Reach,
+    line: transport::Reach,
     /// The term of the voice that answers.
     term: Cell<u64>,
     at: Cell<Option<SocketAddr>>,
--- /dev/null
+++ b/src/keeper/driver/start.rs
@@ -0,0 +1,168 @@
+//! Starts a replica: its state folder, its listener, its tasks; and ends it when it is told to.
+
+use super::accept::Gate;
+use super::{draw, sites, Door, Driver, Stage};
+use crate::core::wheel::Wheel;
+use crate::keeper::begin::Begin;
+use crate::keeper::config::Config;
+use crate::keeper::group::Group;
+use crate::keeper::log::{Base, Identity, Keep, Unusable};
+use crate::store::disk::Folder;
+use crate::store::worker::{Lent, Worker};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use rustix::fs::{flock, FlockOperation};
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, File};
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Most lines at once, where the system allows so many descriptors.
+const LINES: u64 = 4096;
+/// Descriptors that are none of lines: files, peers, signals.
+const OTHERS: u64 = 64;
+/// Words that wait to be decided upon; whoever brings more waits.
+const INBOX: usize = 1024;
+/// Connections that wait to be accepted: as many agents may come at once.
+const BACKLOG: i32 = 1024;
+
+/// Runs a keeper until it is told to end. All that keeps it from starting, or from going on, is told.
+pub fn run(config: Config) -> Result<(), String> {
+    let folder = config.state.display().to_string();
+    let said = |e: &dyn std::fmt::Display| format!("state: {folder}: {e}");
+    fs::create_dir_all(&config.state).map_err(|e| said(&e))?;
+    let lock = File::open(&config.state).map_err(|e| said(&e))?;
+    flock(&lock, FlockOperation::NonBlockingLockExclusive).map_err(|_| said(&"in use by another process"))?;
+    let disk = Arc::new(Folder::new(&config.state));
+    let (keep, found) = Keep::open(disk, config.disk, draw()).map_err(|e| said(&e))?;
+    let base = match found {
+        Some(base) if base.identity.site != config.site || base.identity.keeper != config.keeper => {
+            let other = Unusable::Other(base.identity.keeper, base.identity.site);
+            return Err(said(&other));
+        }
+        Some(base) => base,
+        None => {
+            let (site, keeper) = (config.site.clone(), config.keeper);
+            let identity = Identity { site, keeper, incarnation: draw() };
+            match config.begin {
+                true => Begin::empty(identity, config.peers.keys().copied()),
+                false => Begin::joining(identity),
+            }
+        }
+    };
+    let executor = Rc::new(LocalExecutor::new());
+    let served = serve(config, keep, base, executor.clone());
+    async_io::block_on(executor.run(served))
+}
+
+/// How many lines may be open: as many descriptors as the system gives when it is asked for more.
+fn most_lines() -> u64 {
+    let limit = getrlimit(Resource::Nofile);
+    let wanted = limit.maximum.unwrap_or(LINES + OTHERS).min(LINES + OTHERS);
+    if limit.current.is_some_and(|now| now < wanted) {
+        let _ = setrlimit(Resource::Nofile, Rlimit { current: Some(wanted), maximum: limit.maximum });
+    }
+    getrlimit(Resource::Nofile).current.unwrap_or(wanted).saturating_sub(OTHERS).min(LINES)
+}
+
+async fn serve(
+    config: Config,
+    keep: Keep,
+    base: Base,
+    executor: Rc<LocalExecutor<'static>>,
+) -> Result<(), String> {
+    let mut ending = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let listener =
+        Async::<TcpListener>::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    rustix::net::listen(&listener, BACKLOG).map_err(|e| format!("listen: {e}"))?;
+    let at = listener.get_ref().local_addr().map_err(|e| format!("listen: {e}"))?;
+    let wheel = Wheel::new();
+    let (inbox, coming) = async_channel::bounded(INBOX);
+    let door = Door {
+        inbox,
+        wheel: wheel.clone(),
+        site: config.site.as_str().into(),
+        keeper: config.keeper,
+        incarnation: base.identity.incarnation,
+        federation: config.federation.as_ref().map(|f| ((&*f.name).into(), f.number)),
+        open: Rc::default(),
+        most: most_lines(),
+        next: Rc::default(),
+    };
+    log::info!("keeper {} of {}: listens at {at}", config.keeper, config.site);
+    let now = Instant::now();
+    let stage = match base.begun {
+        true => Stage::Takes(Box::new(Group::new(base, draw()).map_err(|e| e.to_string())?)),
+        false => Stage::Begins(Box::new(Begin::new(base))),
+    };
+    let mut driver = Driver {
+        door: door.clone(),
+        executor: executor.clone(),
+        stage,
+        office: None,
+        led: None,
+        keep: Lent::new(Worker::start().map_err(|e| e.to_string())?, keep, Keep::save),
+        full: None,
+        again: None,
+        start: now,
+        ticked: now,
+        lines: BTreeMap::new(),
+        asked: BTreeSet::new(),
+        changing: None,
+        outgoing: BTreeMap::new(),
+        incoming: BTreeMap::new(),
+        allowed: Rc::default(),
+        wrong: BTreeMap::new(),
+        removed: false,
+        voice: None,
+        sites: sites::Sites::default(),
+        config,
+    };
+    let turning = wheel.clone();
+    executor.spawn(async move { turning.turn().await }).detach();
+    driver.connect();
+    driver.connect_sites();
+    let (allowed, sites) = (driver.allowed.clone(), driver.sites.allowed.clone());
+    let gate = Gate { door, config: driver.config.clone(), allowed, sites };
+    executor.spawn(gate.accept(listener, executor.clone())).detach();
+    driver.first().await?;
+    driver.fits()?;
+    let ended = async {
+        ending.next().await;
+        Ok(())
+    };
+    let ended = driver.go_on(&coming, None).or(ended).await;
+    ended?;
+    let who = format!("keeper {} of {}", driver.config.keeper, driver.config.site);
+    log::info!("{who}: told to end");
+    driver.farewell(&coming).await?;
+    log::info!("{who}: ends");
+    Ok(())
+}
+
+impl Driver {
+    /// Whether the folder is of the site that the file names in its federation.
+    fn fits(&self) -> Result<(), String> {
+        let Stage::Takes(group) = &self.stage else { return Ok(()) };
+        let Some(base) = &group.record().written.base else { return Ok(()) };
+        match &self.config.federation {
+            Some(settings) => {
+                let told = settings.fits(&base.identity);
+                told.map_err(|e| format!("state: {}: {e}", self.config.state.display()))
+            }
+            None => {
+                log::warn!(
+                    "{}: the record is of a federation, {:?}, and the file names none",
+                    self.who(),
+                    base.identity.site
+                );
+                Ok(())
+            }
+        }
+    }
+}
