Cut the leader's and the driver's long functions into steps

Change: each step has a function with a name. A report's content is counted in one of its own, a session that the record has begins in one of its own, an order on a zone is checked and made a command apart from where it is noted, and one step of the group collects what follows from it in `Effects`. Behaviour, order of effects and log lines stay.

Seen: the log's line of a command is formatted only where it is logged, as before; a driver's name is no longer made for each step.

--- a/src/keeper/driver/event_loop.rs
+++ b/src/keeper/driver/event_loop.rs
@@ -6,8 +6,9 @@
 use crate::keeper::log::{Keep, Piece, Unsaved};
 use crate::keeper::office::{Office, Out};
 use crate::keeper::record::Command;
-use crate::keeper::table::voice::Voice;
+use crate::keeper::table::voice::{self, Voice};
 use crate::keeper::wire::ToPerson;
+use crate::Time;
 use async_channel::Receiver;
 use futures_lite::FutureExt;
 use std::time::{Duration, Instant};
@@ -18,6 +19,21 @@
 /// What was to be written, and what came of it.
 type Wrote = (Piece, Result<(), Unsaved>);
 
+/// What follows from one step of the group.
+#[derive(Default)]
+struct Effects {
+    /// What the office wants.
+    out: Vec<Out>,
+    /// What the voice wants.
+    said: Vec<voice::Out>,
+    /// Keepers came or went.
+    members: bool,
+    /// The office begins.
+    begins: bool,
+    /// It ends.
+    ends: bool,
+}
+
 impl Driver {
     /// Serves until something is fatal, it was removed, or the time is up.
     pub(super) async fn go_on(
@@ -110,110 +126,140 @@
 
     /// Goes on until nothing more is to be done.
     pub(super) fn turn(&mut self) -> Result<(), String> {
-        loop {
-            let who = self.who();
-            let now = self.now();
-            let Stage::Takes(group) = &mut self.stage else { return Ok(()) };
-            let mut events = Vec::new();
-            let messages = group.work(&mut events).map_err(|e| e.to_string())?;
-            let idle = messages.is_empty() && events.is_empty();
-            send(group, &self.outgoing, messages);
-            let (mut out, mut said) = (Vec::new(), Vec::new());
-            let mut members = false;
-            for event in events {
-                match event {
-                    Event::Applied(index, command) => {
-                        let told = format!("{command:?}");
-                        if let Command::Beat { term, .. } = &command {
-                            // An older one that is only now read says nothing of when its leader lived.
-                            if *term == group.term() && group.leader() != 0 {
-                                self.led = Some(now);
-                            }
-                        }
-                        let kind = told.split([' ', '(', '{']).next().unwrap_or_default();
-                        let print = crc32fast::hash(told.as_bytes());
-                        log::debug!("{who}: applied {index} {kind} {print:08x}");
-                        if let Some(voice) = &mut self.voice {
-                            voice.applied(now, &command, group.record(), &mut said);
-                        }
-                        if let Some(office) = &mut self.office {
-                            office.applied(now, index, &command, group.record(), &mut out);
-                        }
-                    }
-                    Event::Member(index, keeper) => {
-                        log::info!("{who}: keepers {:?} by entry {index}", group.voters());
-                        members = true;
-                        self.removed = group.held().removed.contains(&group.me());
-                        let came = group.held().members.contains_key(&keeper);
-                        if let Some(changing) = self.changing.as_mut().filter(|c| c.1 == keeper) {
-                            changing.2 = Some(index).filter(|_| came);
-                            if !came {
-                                out.push(Out::Answer(changing.0, ToPerson::Done(index)));
-                                self.changing = None;
-                            }
-                        }
-                    }
-                    Event::Restored(index) => {
-                        log::info!("{who}: has the record up to {index} from another keeper");
-                        members = true;
-                    }
-                    Event::Leads(leader, term) if leader != 0 && leader != group.me() => {
-                        log::info!("{who}: follows {leader} in term {term}");
+        while self.step()? {}
+        Ok(())
+    }
+
+    /// Does what the group has ready, and what follows from it; whether there may be more.
+    fn step(&mut self) -> Result<bool, String> {
+        let now = self.now();
+        let Stage::Takes(group) = &mut self.stage else { return Ok(false) };
+        let mut events = Vec::new();
+        let messages = group.work(&mut events).map_err(|e| e.to_string())?;
+        let idle = messages.is_empty() && events.is_empty();
+        send(group, &self.outgoing, messages);
+        let mut effects = Effects::default();
+        for event in events {
+            self.event(now, event, &mut effects);
+        }
+        self.finish_change(&mut effects);
+        self.begin_or_end_office(now, &mut effects);
+        let piece = self.next_piece();
+        let quiet = effects.out.is_empty() && effects.said.is_empty() && piece.is_none();
+        self.carry_out(effects.out);
+        if let Some(piece) = piece {
+            self.keep.lend(piece).map_err(|_| "the log is lent")?;
+        }
+        if effects.ends {
+            self.end_voice();
+        }
+        if effects.begins {
+            self.begin_voice();
+        }
+        if !effects.said.is_empty() {
+            self.carry_voice(effects.said);
+            self.connect_sites();
+        }
+        self.tell_office(false);
+        if effects.members {
+            self.connect();
+        }
+        Ok(!(idle && quiet))
+    }
+
+    /// Something happened in the group.
+    fn event(&mut self, now: Time, event: Event, effects: &mut Effects) {
+        let Stage::Takes(group) = &self.stage else { return };
+        match event {
+            Event::Applied(index, command) => self.applied(now, index, &command, effects),
+            Event::Member(index, keeper) => {
+                log::info!("{}: keepers {:?} by entry {index}", self.who(), group.voters());
+                effects.members = true;
+                self.removed = group.held().removed.contains(&group.me());
+                let came = group.held().members.contains_key(&keeper);
+                if let Some(changing) = self.changing.as_mut().filter(|c| c.1 == keeper) {
+                    changing.2 = Some(index).filter(|_| came);
+                    if !came {
+                        effects.out.push(Out::Answer(changing.0, ToPerson::Done(index)));
+                        self.changing = None;
                     }
-                    Event::Leads(..) => {}
                 }
             }
-            let has = |(_, keeper, index): &mut (_, u64, Option<u64>)| {
-                index.is_some_and(|index| group.has(*keeper, index))
-            };
-            if let Some((line, _, Some(index))) = self.changing.take_if(has) {
-                out.push(Out::Answer(line, ToPerson::Done(index)));
-            }
-            let (leads, term) = (group.is_ready_to_lead(), group.term());
-            let (mut begins, mut ends) = (false, false);
-            if leads && self.office.is_none() {
-                begins = true;
-                log::info!("{who}: leads in term {term}");
-                let office = Office::new(self.config.rules.clone(), term, now, group.record());
-                self.office = Some(office.led(now, self.led));
-            }
-            if group.leader() != group.me() && self.office.take().is_some() {
-                log::info!("{who}: leads no more");
-                ends = true;
-                self.changing = None;
-                let elsewhere = ToPerson::Elsewhere(Some(group.leader()).filter(|id| *id != 0));
-                let asked = std::mem::take(&mut self.asked);
-                out.extend(asked.into_iter().map(|line| Out::Answer(line, elsewhere.clone())));
-            }
-            let due = |again: &mut (Piece, Instant)| again.1 <= Instant::now();
-            let piece = self.keep.here().and_then(|_| match self.again.take_if(due) {
-                Some((piece, _)) => Some(piece),
-                // Nothing, while something is to be written again.
-                None => group.piece(),
-            });
-            let quiet = out.is_empty() && said.is_empty() && piece.is_none();
-            self.carry_out(out);
-            if let Some(piece) = piece {
-                self.keep.lend(piece).map_err(|_| "the log is lent")?;
+            Event::Restored(index) => {
+                log::info!("{}: has the record up to {index} from another keeper", self.who());
+                effects.members = true;
             }
-            if ends {
-                self.end_voice();
+            Event::Leads(leader, term) if leader != 0 && leader != group.me() => {
+                log::info!("{}: follows {leader} in term {term}", self.who());
             }
-            if begins {
-                self.begin_voice();
-            }
-            if !said.is_empty() {
-                self.carry_voice(said);
-                self.connect_sites();
-            }
-            self.tell_office(false);
-            if members {
-                self.connect();
-            }
-            if idle && quiet {
-                return Ok(());
+            Event::Leads(..) => {}
+        }
+    }
+
+    /// A command was applied to the record.
+    fn applied(&mut self, now: Time, index: u64, command: &Command, effects: &mut Effects) {
+        let Stage::Takes(group) = &self.stage else { return };
+        if let Command::Beat { term, .. } = command {
+            // An older one that is only now read says nothing of when its leader lived.
+            if *term == group.term() && group.leader() != 0 {
+                self.led = Some(now);
             }
         }
+        let told = format!("{command:?}");
+        let kind = told.split([' ', '(', '{']).next().unwrap_or_default();
+        let print = crc32fast::hash(told.as_bytes());
+        log::debug!("{}: applied {index} {kind} {print:08x}", self.who());
+        if let Some(voice) = &mut self.voice {
+            voice.applied(now, command, group.record(), &mut effects.said);
+        }
+        if let Some(office) = &mut self.office {
+            office.applied(now, index, command, group.record(), &mut effects.out);
+        }
+    }
+
+    /// Answers whoever ordered that a keeper comes, when that has the record.
+    fn finish_change(&mut self, effects: &mut Effects) {
+        let Stage::Takes(group) = &self.stage else { return };
+        let has = |(_, keeper, index): &mut (_, u64, Option<u64>)| {
+            index.is_some_and(|index| group.has(*keeper, index))
+        };
+        if let Some((line, _, Some(index))) = self.changing.take_if(has) {
+            effects.out.push(Out::Answer(line, ToPerson::Done(index)));
+        }
+    }
+
+    /// Begins the office where this keeper leads by now, and ends it where it leads no more.
+    fn begin_or_end_office(&mut self, now: Time, effects: &mut Effects) {
+        let Stage::Takes(group) = &self.stage else { return };
+        let term = group.term();
+        if group.is_ready_to_lead() && self.office.is_none() {
+            effects.begins = true;
+            log::info!("{}: leads in term {term}", self.who());
+            let office = Office::new(self.config.rules.clone(), term, now, group.record());
+            self.office = Some(office.led(now, self.led));
+        }
+        if group.leader() != group.me() && self.office.take().is_some() {
+            log::info!("{}: leads no more", self.who());
+            effects.ends = true;
+            self.changing = None;
+            let elsewhere = ToPerson::Elsewhere(Some(group.leader()).filter(|id| *id != 0));
+            let asked = std::mem::take(&mut self.asked);
+            effects.out.extend(asked.into_iter().map(|line| Out::Answer(line, elsewhere.clone())));
+        }
+    }
+
+    /// What is to be written next, where nothing is being written.
+    fn next_piece(&mut self) -> Option<Piece> {
+        self.keep.here()?;
+        let due = |again: &mut (Piece, Instant)| again.1 <= Instant::now();
+        if let Some((piece, _)) = self.again.take_if(due) {
+            return Some(piece);
+        }
+        // Nothing, while something is to be written again.
+        match &mut self.stage {
+            Stage::Takes(group) => group.piece(),
+            Stage::Begins(_) => None,
+        }
     }
 
     /// A leader asks another one to lead before it ends.
--- a/src/keeper/driver/sites.rs
+++ b/src/keeper/driver/sites.rs
@@ -379,31 +379,10 @@
                 let _ = answer.try_send(said);
             }
             Site::Answered { site, at, said: Said::Known { number, incarnation, term } } => {
-                let (Some(voice), Stage::Takes(group)) = (&mut self.voice, &self.stage) else { return };
-                let seen = self.sites.terms.get(&site).copied();
-                let seen = seen.filter(|seen| seen.0 == incarnation).map_or(0, |seen| seen.1);
-                let came = match number == site {
-                    true if term < seen => Came::Later,
-                    true => voice.answered(now, site, incarnation, group.record(), &mut out),
-                    false => Came::No(format!("it is site {number}")),
-                };
-                if let Some(o) = self.sites.outgoing.get(&site) {
-                    if came != Came::Known {
-                        // Nothing is said to it.
-                        o.reach.line.up.set(false);
-                    } else if o.reach.line.told.take().is_some() {
-                        log::info!("federation {}: site {site} at {at}: is reached", voice.known().name);
-                    }
-                }
-                match came {
-                    Came::No(why) => self.site_is_wrong(site, Wrong::SiteAnswers, &why),
-                    Came::Later => {}
-                    Came::Known => {
-                        self.sites.terms.insert(site, (incarnation, term));
-                        self.wrong.remove(&(site, Wrong::SiteAnswers));
-                        self.wrong.remove(&(site, Wrong::SiteShut));
-                    }
+                if self.voice.is_none() {
+                    return;
                 }
+                self.site_answered(site, at, number, (incarnation, term), &mut out);
             }
             Site::Answered { site, said, .. } => {
                 if let Said::Refused(why) = said {
@@ -430,6 +409,43 @@
         self.tell_office(false);
     }
 
+    /// A site that knows this one answered, as the site of this number.
+    fn site_answered(
+        &mut self,
+        site: u64,
+        at: SocketAddr,
+        number: u64,
+        (incarnation, term): (u64, u64),
+        out: &mut Vec<Out>,
+    ) {
+        let now = self.now();
+        let (Some(voice), Stage::Takes(group)) = (&mut self.voice, &self.stage) else { return };
+        let seen = self.sites.terms.get(&site).copied();
+        let seen = seen.filter(|seen| seen.0 == incarnation).map_or(0, |seen| seen.1);
+        let came = match number == site {
+            true if term < seen => Came::Later,
+            true => voice.answered(now, site, incarnation, group.record(), out),
+            false => Came::No(format!("it is site {number}")),
+        };
+        if let Some(o) = self.sites.outgoing.get(&site) {
+            if came != Came::Known {
+                // Nothing is said to it.
+                o.reach.line.up.set(false);
+            } else if o.reach.line.told.take().is_some() {
+                log::info!("federation {}: site {site} at {at}: is reached", voice.known().name);
+            }
+        }
+        match came {
+            Came::No(why) => self.site_is_wrong(site, Wrong::SiteAnswers, &why),
+            Came::Later => {}
+            Came::Known => {
+                self.sites.terms.insert(site, (incarnation, term));
+                self.wrong.remove(&(site, Wrong::SiteAnswers));
+                self.wrong.remove(&(site, Wrong::SiteShut));
+            }
+        }
+    }
+
     fn site_came(&mut self, site: u64, incarnation: u64, term: u64, out: &mut Vec<Out>) -> Said {
         let now = self.now();
         let leader = self.leader().and_then(|keeper| self.reached(keeper)).map(|at| at.to_string());
--- a/src/keeper/driver/start.rs
+++ b/src/keeper/driver/start.rs
@@ -1,7 +1,7 @@
 //! Starts a replica: its state folder, its listener, its tasks; and ends it when it is told to.
 
 use super::accept::Gate;
-use super::{draw, sites, Door, Driver, Stage};
+use super::{draw, sites, Door, Driver, In, Stage};
 use crate::core::wheel::Wheel;
 use crate::keeper::begin::Begin;
 use crate::keeper::config::Config;
@@ -9,6 +9,7 @@
 use crate::keeper::log::{Base, Identity, Keep, Unusable};
 use crate::store::disk::Folder;
 use crate::store::worker::{Lent, Worker};
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
@@ -70,6 +71,16 @@
     getrlimit(Resource::Nofile).current.unwrap_or(wanted).saturating_sub(OTHERS).min(LINES)
 }
 
+/// Listens where the file says.
+fn listen(config: &Config) -> Result<Async<TcpListener>, String> {
+    let listener =
+        Async::<TcpListener>::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    rustix::net::listen(&listener, BACKLOG).map_err(|e| format!("listen: {e}"))?;
+    let at = listener.get_ref().local_addr().map_err(|e| format!("listen: {e}"))?;
+    log::info!("keeper {} of {}: listens at {at}", config.keeper, config.site);
+    Ok(listener)
+}
+
 async fn serve(
     config: Config,
     keep: Keep,
@@ -77,58 +88,15 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
     let mut ending = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
-    let listener =
-        Async::<TcpListener>::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
-    rustix::net::listen(&listener, BACKLOG).map_err(|e| format!("listen: {e}"))?;
-    let at = listener.get_ref().local_addr().map_err(|e| format!("listen: {e}"))?;
+    let listener = listen(&config)?;
     let wheel = Wheel::new();
     let (inbox, coming) = async_channel::bounded(INBOX);
-    let door = Door {
-        inbox,
-        wheel: wheel.clone(),
-        site: config.site.as_str().into(),
-        keeper: config.keeper,
-        incarnation: base.identity.incarnation,
-        federation: config.federation.as_ref().map(|f| ((&*f.name).into(), f.number)),
-        open: Rc::default(),
-        most: most_lines(),
-        next: Rc::default(),
-    };
-    log::info!("keeper {} of {}: listens at {at}", config.keeper, config.site);
-    let now = Instant::now();
-    let stage = match base.begun {
-        true => Stage::Takes(Box::new(Group::new(base, draw()).map_err(|e| e.to_string())?)),
-        false => Stage::Begins(Box::new(Begin::new(base))),
-    };
-    let mut driver = Driver {
-        door: door.clone(),
-        executor: executor.clone(),
-        stage,
-        office: None,
-        led: None,
-        keep: Lent::new(Worker::start().map_err(|e| e.to_string())?, keep, Keep::save),
-        full: None,
-        again: None,
-        start: now,
-        ticked: now,
-        lines: BTreeMap::new(),
-        asked: BTreeSet::new(),
-        changing: None,
-        outgoing: BTreeMap::new(),
-        incoming: BTreeMap::new(),
-        allowed: Rc::default(),
-        wrong: BTreeMap::new(),
-        removed: false,
-        voice: None,
-        sites: sites::Sites::default(),
-        config,
-    };
-    let turning = wheel.clone();
-    executor.spawn(async move { turning.turn().await }).detach();
+    let mut driver = Driver::new(config, keep, base, (inbox, wheel.clone()), executor.clone())?;
+    executor.spawn(async move { wheel.turn().await }).detach();
     driver.connect();
     driver.connect_sites();
     let (allowed, sites) = (driver.allowed.clone(), driver.sites.allowed.clone());
-    let gate = Gate { door, config: driver.config.clone(), allowed, sites };
+    let gate = Gate { door: driver.door.clone(), config: driver.config.clone(), allowed, sites };
     executor.spawn(gate.accept(listener, executor.clone())).detach();
     driver.first().await?;
     driver.fits()?;
@@ -138,7 +106,7 @@
     };
     let ended = driver.go_on(&coming, None).or(ended).await;
     ended?;
-    let who = format!("keeper {} of {}", driver.config.keeper, driver.config.site);
+    let who = driver.who();
     log::info!("{who}: told to end");
     driver.farewell(&coming).await?;
     log::info!("{who}: ends");
@@ -146,6 +114,55 @@
 }
 
 impl Driver {
+    /// Begins from what the folder has; nothing is connected yet.
+    fn new(
+        config: Config,
+        keep: Keep,
+        base: Base,
+        (inbox, wheel): (Sender<In>, Rc<Wheel>),
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Result<Driver, String> {
+        let door = Door {
+            inbox,
+            wheel,
+            site: config.site.as_str().into(),
+            keeper: config.keeper,
+            incarnation: base.identity.incarnation,
+            federation: config.federation.as_ref().map(|f| ((&*f.name).into(), f.number)),
+            open: Rc::default(),
+            most: most_lines(),
+            next: Rc::default(),
+        };
+        let now = Instant::now();
+        let stage = match base.begun {
+            true => Stage::Takes(Box::new(Group::new(base, draw()).map_err(|e| e.to_string())?)),
+            false => Stage::Begins(Box::new(Begin::new(base))),
+        };
+        Ok(Driver {
+            door,
+            executor,
+            stage,
+            office: None,
+            led: None,
+            keep: Lent::new(Worker::start().map_err(|e| e.to_string())?, keep, Keep::save),
+            full: None,
+            again: None,
+            start: now,
+            ticked: now,
+            lines: BTreeMap::new(),
+            asked: BTreeSet::new(),
+            changing: None,
+            outgoing: BTreeMap::new(),
+            incoming: BTreeMap::new(),
+            allowed: Rc::default(),
+            wrong: BTreeMap::new(),
+            removed: false,
+            voice: None,
+            sites: sites::Sites::default(),
+            config,
+        })
+    }
+
     /// Whether the folder is of the site that the file names in its federation.
     fn fits(&self) -> Result<(), String> {
         let Stage::Takes(group) = &self.stage else { return Ok(()) };
--- a/src/keeper/office.rs
+++ b/src/keeper/office.rs
@@ -14,19 +14,18 @@
 //! One decision is out at a time. Each names the record's epoch that it was based on and is void where another one came before, so
 //! what holds for the decision (a destination keeps a route, not too many zones are out) holds for the record.
 
-use crate::keeper::ears::OFFERS;
 use crate::keeper::policy::register::Change;
 use crate::keeper::policy::rollout::Roll;
 use crate::keeper::record::{Command, Record};
 use crate::keeper::table::federation;
 use crate::keeper::table::switch::{Known, Switch};
-use crate::keeper::wire::{FromPerson, FromSender, Print, ToAgent, ToPerson};
+use crate::keeper::wire::{FromPerson, Print, ToAgent, ToPerson};
 use crate::keeper::zones::bearing::Lists;
 use crate::keeper::zones::cold::Cold;
 use crate::keeper::zones::evidence::{Evidence, Verdict};
 use crate::keeper::zones::ms;
 use crate::Time;
-use announce::switched;
+
 use orders::policy;
 use sessions::view;
 use std::collections::{BTreeMap, VecDeque};
@@ -191,57 +190,11 @@
     /// A command was applied to the record, which stands as given.
     pub fn applied(&mut self, now: Time, index: u64, command: &Command, record: &Record, out: &mut Vec<Out>) {
         match command {
-            Command::Join { sender, boot, zone } => {
-                let until = now + longer(self.rules.lease_ms);
-                let joining = self.joining.get(sender).filter(|j| j.boot == *boot).cloned();
-                if !record.roster.get(sender).is_some_and(|m| m.live && m.boot == *boot) {
-                    // The roster is full of senders that live.
-                    self.joining.remove(sender);
-                    joining.into_iter().for_each(|j| out.push(Out::Say(j.line, ToAgent::Elsewhere(None))));
-                    return;
-                }
-                let known = self.sessions.get(sender).filter(|s| s.boot == *boot && !s.lapsing);
-                if known.is_none() {
-                    if let Some(old) = self.sessions.get(sender).and_then(|s| s.line) {
-                        self.lines.remove(&old);
-                    }
-                    self.meet(sender, *boot, zone, None, until, 0);
-                } else if let Some(s) = known {
-                    self.evidence.meet(s.id, zone);
-                }
-                if let Some(j) = joining {
-                    self.joining.remove(sender);
-                    let session = self.sessions.get_mut(sender);
-                    session.into_iter().for_each(|s| (s.line, s.has) = (Some(j.line), j.has));
-                    self.lines.insert(j.line, sender.clone());
-                    self.roll.meet(sender, *boot, j.stored.as_deref());
-                    self.switch.meet(sender, *boot);
-                    self.say_policies(now, sender, record, &mut { OFFERS }, out);
-                    if let Some(tables) = j.tables {
-                        let mut said = Vec::new();
-                        self.switch.hear(now, sender, &FromSender::Has(tables), record, &mut said);
-                        switched(record, said, out);
-                        self.say_tables(now, sender, record, &mut { OFFERS }, out);
-                    }
-                    self.renew(now, j.line, 0, record, out);
-                }
-            }
-            Command::Lapse { sender, boot } => {
-                if self.sessions.get(sender).is_some_and(|s| s.boot == *boot)
-                    && !record.roster.get(sender).is_some_and(|m| m.live)
-                {
-                    let line = self.sessions.get(sender).and_then(|s| s.line);
-                    line.map(|line| self.lines.remove(&line));
-                    self.forget(sender);
-                }
-            }
+            Command::Join { sender, boot, zone } => self.joined(now, (sender, *boot, zone), record, out),
+            Command::Lapse { sender, boot } => self.lapsed(sender, *boot, record),
             Command::Beat { term, beat, .. } => {
                 if *term == self.term {
-                    while self.beats.front().is_some_and(|(n, _)| n <= beat) {
-                        if let Some((_, at)) = self.beats.pop_front() {
-                            self.sure_until = self.sure_until.max(at + ms(self.rules.sure_ms));
-                        }
-                    }
+                    self.beat_applied(*beat);
                     self.pay(now, record, out);
                 }
             }
@@ -278,6 +231,15 @@
         }
     }
 
+    /// The record has a beat of this term: leases may be renewed for some time after it was proposed.
+    fn beat_applied(&mut self, beat: u64) {
+        while self.beats.front().is_some_and(|(n, _)| *n <= beat) {
+            if let Some((_, at)) = self.beats.pop_front() {
+                self.sure_until = self.sure_until.max(at + ms(self.rules.sure_ms));
+            }
+        }
+    }
+
     /// Time has passed; to be told some ten times a second.
     pub fn tick(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
         self.beat(now, record, out);
--- a/src/keeper/office/decide.rs
+++ b/src/keeper/office/decide.rs
@@ -142,40 +142,39 @@
             Phase::Returning if wish == Some(ZoneWish::Leave) => {
                 to(Phase::Left, z.left.clone(), z.tries, "a person's word")
             }
-            Phase::Returning => {
-                let fails = matches!(self.verdicts.get(zone), Some(Verdict::Fails { .. }));
-                let step = step?;
-                match step {
-                    _ if wish == Some(ZoneWish::Return) => {}
-                    Step::Failed => {
-                        return to(
-                            Phase::Left,
-                            z.left.clone(),
-                            z.tries.saturating_add(1),
-                            "the return failed",
-                        )
-                    }
-                    // Senders that are in see it, and not by granted calls.
-                    _ if fails && self.cold.has_begun(zone) => {
-                        let why = "it fails while it is returned to";
-                        return to(Phase::Left, z.left.clone(), z.tries.saturating_add(1), why);
-                    }
-                    _ => {}
-                }
-                let out = self.still_out(zone, z, step);
-                // An order voids what was granted: those that have not answered yet have had their time with it.
-                let lags = z.out.iter().any(|(d, _)| self.cold.bears(zone, *d).is_none());
-                let gap = if lags { rules.within_ms.max(self.settle_ms()) } else { self.settle_ms() };
-                let begun_ms = self.cold.begun_ms(zone, self.looked).unwrap_or(u64::MAX);
-                if out == z.out || passed.min(begun_ms) < u64::from(gap) {
-                    None
-                } else if out.is_empty() {
-                    let why = if step == Step::Unwanted { "nobody calls there" } else { "warm" };
-                    to(Phase::Used, Vec::new(), z.tries.saturating_add(1), why)
-                } else {
-                    to(Phase::Returning, out, z.tries, "it bears more")
-                }
+            Phase::Returning => self.returns(zone, z, step?, passed),
+        }
+    }
+
+    /// The same for a zone that is being returned to, and stands as it is for `passed` milliseconds.
+    fn returns(&self, zone: &str, z: &Zone, step: Step, passed: u64) -> Option<Next> {
+        let rules = &self.rules.zones;
+        let to = |phase, out, tries, why: &str| Some((zone.to_string(), phase, out, tries, why.to_string()));
+        let fails = matches!(self.verdicts.get(zone), Some(Verdict::Fails { .. }));
+        match step {
+            _ if wish(z.wish) == Some(ZoneWish::Return) => {}
+            Step::Failed => {
+                return to(Phase::Left, z.left.clone(), z.tries.saturating_add(1), "the return failed")
             }
+            // Senders that are in see it, and not by granted calls.
+            _ if fails && self.cold.has_begun(zone) => {
+                let why = "it fails while it is returned to";
+                return to(Phase::Left, z.left.clone(), z.tries.saturating_add(1), why);
+            }
+            _ => {}
+        }
+        let out = self.still_out(zone, z, step);
+        // An order voids what was granted: those that have not answered yet have had their time with it.
+        let lags = z.out.iter().any(|(d, _)| self.cold.bears(zone, *d).is_none());
+        let gap = if lags { rules.within_ms.max(self.settle_ms()) } else { self.settle_ms() };
+        let begun_ms = self.cold.begun_ms(zone, self.looked).unwrap_or(u64::MAX);
+        if out == z.out || passed.min(begun_ms) < u64::from(gap) {
+            None
+        } else if out.is_empty() {
+            let why = if step == Step::Unwanted { "nobody calls there" } else { "warm" };
+            to(Phase::Used, Vec::new(), z.tries.saturating_add(1), why)
+        } else {
+            to(Phase::Returning, out, z.tries, "it bears more")
         }
     }
 
--- a/src/keeper/office/orders.rs
+++ b/src/keeper/office/orders.rs
@@ -15,51 +15,70 @@
     /// An operator orders something over a line; answered at once, or when the record has it. Of the status, what the office does not
     /// know (site, keepers) is left for the driver to fill in.
     pub fn order(&mut self, now: Time, line: Line, word: &FromPerson, record: &Record, out: &mut Vec<Out>) {
-        let (zone, wish, for_s) = match word {
-            FromPerson::Zone { zone, order, for_s } => (zone, *order, *for_s),
-            FromPerson::Status => {
-                out.push(Out::Answer(line, ToPerson::Status(Box::new(self.status(record)))));
-                return;
-            }
-            FromPerson::Policies => {
-                let status = Box::new(self.roll.status(now, record));
-                out.push(Out::Answer(line, ToPerson::Policies(status)));
-                return;
-            }
-            FromPerson::PastPolicies => {
-                out.push(Out::Answer(line, ToPerson::PastPolicies(Roll::history(record))));
-                return;
-            }
-            FromPerson::Policy { number } => {
-                let held = record.policies.texts.get(number);
-                let answer = match held {
-                    Some(t) => ToPerson::Policy { number: *number, print: t.print, text: t.text.clone() },
-                    None => ToPerson::Refused(format!("the record has no text of policy {number}")),
-                };
-                out.push(Out::Answer(line, answer));
-                return;
+        let answer = match word {
+            FromPerson::Zone { zone, order, for_s } => {
+                match self.zone_command(zone, *order, *for_s, record) {
+                    Ok(command) => {
+                        out.push(Out::Propose(command.clone()));
+                        self.persons.push_back((line, command, now));
+                        return;
+                    }
+                    Err(answer) => answer,
+                }
             }
+            FromPerson::Status => ToPerson::Status(Box::new(self.status(record))),
+            FromPerson::Policies => ToPerson::Policies(Box::new(self.roll.status(now, record))),
+            FromPerson::PastPolicies => ToPerson::PastPolicies(Roll::history(record)),
+            FromPerson::Policy { number } => match record.policies.texts.get(number) {
+                Some(t) => ToPerson::Policy { number: *number, print: t.print, text: t.text.clone() },
+                None => ToPerson::Refused(format!("the record has no text of policy {number}")),
+            },
             FromPerson::Propose { .. } | FromPerson::Halt { .. } | FromPerson::Resume | FromPerson::Back => {
-                self.order_policy(now, line, word, record, out);
-                return;
-            }
-            FromPerson::Table(word) => {
-                self.order_table(now, line, word, record, out);
-                return;
+                return self.order_policy(now, line, word, record, out);
             }
+            FromPerson::Table(word) => return self.order_table(now, line, word, record, out),
             FromPerson::Add { .. } | FromPerson::Remove { .. } => {
-                out.push(Out::Answer(
-                    line,
-                    ToPerson::Refused("keepers are not the office's to change".into()),
-                ));
-                return;
+                ToPerson::Refused("keepers are not the office's to change".into())
             }
         };
+        out.push(Out::Answer(line, answer));
+    }
+
+    /// What an order on a zone brings into the record; else what is answered at once.
+    fn zone_command(
+        &mut self,
+        zone: &str,
+        wish: ZoneWish,
+        for_s: u64,
+        record: &Record,
+    ) -> Result<Command, ToPerson> {
         self.lists.settle();
+        if let Some(why) = self.refusal(zone, wish, record) {
+            return Err(ToPerson::Refused(why));
+        }
+        let word = record.zones.get(zone).and_then(|z| z.wish);
+        // What stands already is not written again.
+        let same = match wish {
+            ZoneWish::Free => word.is_none(),
+            _ => for_s == 0 && word == Some(Wish { what: wish, until_ms: 0 }),
+        };
+        if same {
+            return Err(ToPerson::Done(record.version));
+        }
+        if self.persons.len() >= MOST_WAITING {
+            return Err(ToPerson::Refused("too many orders wait; again in a second".into()));
+        }
+        // The record's clock may be a beat behind.
+        let beat = if for_s == 0 { 0 } else { u64::from(self.rules.beat_ms) };
+        let for_ms = for_s.saturating_mul(1_000).saturating_add(beat);
+        Ok(Command::Wish { zone: zone.into(), wish, for_ms })
+    }
+
+    /// Why an order on a zone is not taken on.
+    fn refusal(&self, zone: &str, wish: ZoneWish, record: &Record) -> Option<String> {
         let stands = record.zones.get(zone);
-        let word = stands.and_then(|z| z.wish);
         let phase = stands.map_or(Phase::Used, |z| z.phase);
-        let refusal = if self.lists.count(zone) == 0 && stands.is_none() {
+        if self.lists.count(zone) == 0 && stands.is_none() {
             Some(format!("no list names a zone {zone:?}"))
         } else if !record.has_room(zone) {
             Some("the record names as many zones as it may".into())
@@ -67,29 +86,7 @@
             self.may_leave(zone, record).err()
         } else {
             None
-        };
-        // What stands already is not written again.
-        let same = match wish {
-            ZoneWish::Free => word.is_none(),
-            _ => for_s == 0 && word == Some(Wish { what: wish, until_ms: 0 }),
-        };
-        let answer = match refusal {
-            Some(why) => ToPerson::Refused(why),
-            None if same => ToPerson::Done(record.version),
-            None if self.persons.len() >= MOST_WAITING => {
-                ToPerson::Refused("too many orders wait; again in a second".into())
-            }
-            None => {
-                // The record's clock may be a beat behind.
-                let beat = if for_s == 0 { 0 } else { u64::from(self.rules.beat_ms) };
-                let for_ms = for_s.saturating_mul(1_000).saturating_add(beat);
-                let command = Command::Wish { zone: zone.clone(), wish, for_ms };
-                out.push(Out::Propose(command.clone()));
-                self.persons.push_back((line, command, now));
-                return;
-            }
-        };
-        out.push(Out::Answer(line, answer));
+        }
     }
 
     /// An order on policies, given first at some time: proposed on the turn that stands.
--- a/src/keeper/office/sessions.rs
+++ b/src/keeper/office/sessions.rs
@@ -1,10 +1,11 @@
 //! Sessions of senders: how one begins, what an agent reports in it, how its lease is renewed, and how it ends.
 
+use super::announce::switched;
 use super::orders::policy;
 use super::{longer, Joining, Line, Office, Out, Session, AGAIN};
 use crate::keeper::ears::OFFERS;
 use crate::keeper::record::{Command, Record};
-use crate::keeper::wire::{FromAgent, Grant, Print, ToAgent};
+use crate::keeper::wire::{FromAgent, FromSender, Grant, Health, Listed, Print, Seen, ToAgent, Want};
 use crate::Time;
 
 /// Counts of a report that are read, at the most: 50 zones with 80 destinations.
@@ -14,6 +15,18 @@
 /// A sender's part of the traffic may be so many times the even one: a fifth of a fleet sees three to five times it, few see more.
 const UNEVEN: f32 = 20.0;
 
+/// What an agent reports.
+struct Report<'a> {
+    /// Numbers the reports of one boot.
+    number: u64,
+    /// The version of the record that it goes by.
+    has: u64,
+    seen: &'a [Seen],
+    listed: Option<&'a [Listed]>,
+    wants: &'a [Want],
+    health: &'a [Health],
+}
+
 /// What a session begins with.
 struct Opens<'a> {
     sender: &'a String,
@@ -61,36 +74,9 @@
                 self.open(now, line, Opens { sender, boot, own, has, stored }, record, out);
             }
             FromAgent::Tell { report, has, seen, listed, wants, health } => {
-                self.lines.get(&line).into_iter().for_each(|name| self.switch.reports(name));
-                let known = self.lines.get(&line).and_then(|name| self.sessions.get_mut(name));
-                let Some(session) = known.filter(|s| !s.lapsing && s.line == Some(line)) else {
-                    out.push(Out::Say(line, ToAgent::Unknown));
-                    return;
-                };
-                session.has = *has;
-                let id = session.id;
-                if *report > session.report {
-                    session.report = *report;
-                    let seen = &seen[..seen.len().min(MOST_SEEN)];
-                    let even = UNEVEN / self.sessions.len().max(1) as f32;
-                    let lists = &self.lists;
-                    self.evidence.hear(now, id, seen, |zone, dest| {
-                        let listed = lists.route(zone, dest)?;
-                        let most = listed.rate as f32 / REPORTS * even.min(0.5);
-                        Some(if most > 0.0 { most.max(1.0) } else { f32::INFINITY })
-                    });
-                    seen.iter().for_each(|s| self.cold.saw(now, id, &s.zone, s.dest, &s.counts));
-                    if let Some(listed) = listed {
-                        self.lists.tell(id, listed);
-                    }
-                    self.cold.want(now, id, *report, &wants[..wants.len().min(MOST_SEEN)]);
-                    let member = self.lines.get(&line).and_then(|name| record.roster.get(name));
-                    if let Some(member) = member {
-                        self.roll.hear(now, &member.zone, health, record);
-                    }
-                }
-                self.renew(now, line, *report, record, out);
-                self.hand_out(now, out);
+                let (listed, health) = (listed.as_deref(), health.as_slice());
+                let report = Report { number: *report, has: *has, seen, listed, wants, health };
+                self.report(now, line, &report, record, out);
             }
             FromAgent::Stored { number, refused } => match self.speaks(line) {
                 Some(sender) => self.roll.stored(&sender, *number, refused.as_deref(), record),
@@ -104,18 +90,127 @@
                 None => out.push(Out::Say(line, ToAgent::Unknown)),
             },
             FromAgent::Table(word) => self.hear_tables(now, line, word, record, out),
-            FromAgent::Leave => {
-                let name = self.lines.remove(&line);
-                let session = name.as_ref().and_then(|name| self.sessions.get_mut(name));
-                if let (Some(sender), Some(session)) = (name.clone(), session) {
-                    (session.lapsing, session.line) = (true, None);
-                    let boot = session.boot;
-                    // The lapse is proposed again after this time, should it be lost.
-                    session.until = now + AGAIN;
-                    out.push(Out::Propose(Command::Lapse { sender, boot }));
-                }
+            FromAgent::Leave => self.leave(now, line, out),
+        }
+    }
+
+    /// An agent reports: its session is renewed, whatever the report is; what it saw counts once.
+    fn report(&mut self, now: Time, line: Line, report: &Report<'_>, record: &Record, out: &mut Vec<Out>) {
+        self.lines.get(&line).into_iter().for_each(|name| self.switch.reports(name));
+        let known = self.lines.get(&line).and_then(|name| self.sessions.get_mut(name));
+        let Some(session) = known.filter(|s| !s.lapsing && s.line == Some(line)) else {
+            out.push(Out::Say(line, ToAgent::Unknown));
+            return;
+        };
+        session.has = report.has;
+        let id = session.id;
+        if report.number > session.report {
+            session.report = report.number;
+            self.count(now, id, report);
+            let member = self.lines.get(&line).and_then(|name| record.roster.get(name));
+            if let Some(member) = member {
+                self.roll.hear(now, &member.zone, report.health, record);
             }
         }
+        self.renew(now, line, report.number, record, out);
+        self.hand_out(now, out);
+    }
+
+    /// Counts what a sender saw, has listed and wants.
+    fn count(&mut self, now: Time, id: u32, report: &Report<'_>) {
+        let seen = &report.seen[..report.seen.len().min(MOST_SEEN)];
+        let even = UNEVEN / self.sessions.len().max(1) as f32;
+        let lists = &self.lists;
+        self.evidence.hear(now, id, seen, |zone, dest| {
+            let listed = lists.route(zone, dest)?;
+            let most = listed.rate as f32 / REPORTS * even.min(0.5);
+            Some(if most > 0.0 { most.max(1.0) } else { f32::INFINITY })
+        });
+        seen.iter().for_each(|s| self.cold.saw(now, id, &s.zone, s.dest, &s.counts));
+        if let Some(listed) = report.listed {
+            self.lists.tell(id, listed);
+        }
+        self.cold.want(now, id, report.number, &report.wants[..report.wants.len().min(MOST_SEEN)]);
+    }
+
+    /// An agent ends its session.
+    fn leave(&mut self, now: Time, line: Line, out: &mut Vec<Out>) {
+        let name = self.lines.remove(&line);
+        let session = name.as_ref().and_then(|name| self.sessions.get_mut(name));
+        if let (Some(sender), Some(session)) = (name.clone(), session) {
+            (session.lapsing, session.line) = (true, None);
+            let boot = session.boot;
+            // The lapse is proposed again after this time, should it be lost.
+            session.until = now + AGAIN;
+            out.push(Out::Propose(Command::Lapse { sender, boot }));
+        }
+    }
+
+    /// The record has a sender's session, or has no room for it.
+    pub(super) fn joined(
+        &mut self,
+        now: Time,
+        (sender, boot, own): (&String, u64, &str),
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
+        let until = now + longer(self.rules.lease_ms);
+        let joining = self.joining.get(sender).filter(|j| j.boot == boot).cloned();
+        if !record.roster.get(sender).is_some_and(|m| m.live && m.boot == boot) {
+            // The roster is full of senders that live.
+            self.joining.remove(sender);
+            joining.into_iter().for_each(|j| out.push(Out::Say(j.line, ToAgent::Elsewhere(None))));
+            return;
+        }
+        let known = self.sessions.get(sender).filter(|s| s.boot == boot && !s.lapsing);
+        if known.is_none() {
+            if let Some(old) = self.sessions.get(sender).and_then(|s| s.line) {
+                self.lines.remove(&old);
+            }
+            self.meet(sender, boot, own, None, until, 0);
+        } else if let Some(s) = known {
+            self.evidence.meet(s.id, own);
+        }
+        if let Some(joining) = joining {
+            self.joining.remove(sender);
+            self.begin_session(now, sender, joining, record, out);
+        }
+    }
+
+    /// Speaks to a sender whose session the record has by now.
+    fn begin_session(
+        &mut self,
+        now: Time,
+        sender: &String,
+        joining: Joining,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
+        let line = joining.line;
+        let session = self.sessions.get_mut(sender);
+        session.into_iter().for_each(|s| (s.line, s.has) = (Some(line), joining.has));
+        self.lines.insert(line, sender.clone());
+        self.roll.meet(sender, joining.boot, joining.stored.as_deref());
+        self.switch.meet(sender, joining.boot);
+        self.say_policies(now, sender, record, &mut { OFFERS }, out);
+        if let Some(tables) = joining.tables {
+            let mut said = Vec::new();
+            self.switch.hear(now, sender, &FromSender::Has(tables), record, &mut said);
+            switched(record, said, out);
+            self.say_tables(now, sender, record, &mut { OFFERS }, out);
+        }
+        self.renew(now, line, 0, record, out);
+    }
+
+    /// The record has that a session lapsed.
+    pub(super) fn lapsed(&mut self, sender: &str, boot: u64, record: &Record) {
+        if self.sessions.get(sender).is_some_and(|s| s.boot == boot)
+            && !record.roster.get(sender).is_some_and(|m| m.live)
+        {
+            let line = self.sessions.get(sender).and_then(|s| s.line);
+            line.map(|line| self.lines.remove(&line));
+            self.forget(sender);
+        }
     }
 
     /// The sender that has a session on a line.
