Name what the leader alone does LeaderDuties, in place of Office

"Office" was a metaphor for the duties of a replicated group's leader.

Change: `keeper::office` is `keeper::leader`, `Office` is `LeaderDuties`, and variables and comments follow in the replica, the lab and the two tests that use it. Nothing but names; no setting, command, wire word or log text changes.

--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -3,7 +3,7 @@
 //! drawn from one seed.
 
 use crate::due::At;
-use raildeal::keeper::office::{Line, Office, Out, Rules};
+use raildeal::keeper::leader::{LeaderDuties, Line, Out, Rules};
 use raildeal::keeper::policy::register::{Change, Step};
 use raildeal::keeper::record::{Command, Record};
 use raildeal::keeper::wire::{FromAgent, FromPerson, Health, Print, ToAgent, ToPerson};
@@ -24,7 +24,7 @@
 const WAY: Time = 3 * MS;
 /// Until the record has what is proposed.
 const COMMIT: Time = 15 * MS;
-/// The driver tells the office the time this often.
+/// The driver tells the leader the time this often.
 const TICK: Time = 50 * MS;
 /// A sender checks a policy and writes it down.
 const CHECK: Time = 8 * MS;
@@ -146,7 +146,7 @@
     pub answers: Vec<ToPerson>,
     /// The record as it is at the end.
     pub record: Record,
-    /// Longest turn of the office, of this machine's own time.
+    /// Longest turn of the leader, of this machine's own time.
     pub longest: std::time::Duration,
 }
 
@@ -198,7 +198,7 @@
     zones: Vec<(f64, Time)>,
     outage: bool,
     record: Record,
-    office: Option<Office>,
+    duties: Option<LeaderDuties>,
     term: u64,
     index: u64,
     led: Time,
@@ -222,7 +222,7 @@
     let zones = (0..play.zones).map(|_| (rng.random_range(0.6..1.5), 0)).collect();
     let record = Record::default();
     let mut world = World {
-        office: Some(Office::new(Rules::default(), 1, 0, &record)),
+        duties: Some(LeaderDuties::new(Rules::default(), 1, 0, &record)),
         of_line: (0..play.senders).map(|n| (n as Line + 1, n)).collect(),
         next_line: play.senders as Line + 1,
         play: play.clone(),
@@ -292,18 +292,18 @@
         match event {
             Event::Report(n, boot) => self.report(n, boot),
             Event::ToOffice(line, word) => {
-                self.office(|office, record, out| office.hear(now, line, &word, record, out))
+                self.duties(|duties, record, out| duties.hear(now, line, &word, record, out))
             }
             Event::ToAgent(line, word) => self.told(line, word),
             Event::Apply(term, command) => {
                 // What a leader proposed that is gone is lost with its term.
-                if term == self.term && self.office.is_some() {
+                if term == self.term && self.duties.is_some() {
                     self.apply(&command);
                 }
             }
             Event::Leads(term) => {
-                let office = Office::new(Rules::default(), term, now, &self.record);
-                self.office = Some(office.led(now, Some(self.led)));
+                let duties = LeaderDuties::new(Rules::default(), term, now, &self.record);
+                self.duties = Some(duties.led(now, Some(self.led)));
             }
             Event::Starts(n) => {
                 let s = &mut self.senders[n];
@@ -321,15 +321,15 @@
                         zone.1 = now + SECOND;
                     }
                 }
-                self.office(|office, record, out| office.tick(now, record, out));
+                self.duties(|duties, record, out| duties.tick(now, record, out));
             }
         }
     }
 
-    fn office(&mut self, word: impl FnOnce(&mut Office, &Record, &mut Vec<Out>)) {
-        let Some(office) = &mut self.office else { return };
+    fn duties(&mut self, word: impl FnOnce(&mut LeaderDuties, &Record, &mut Vec<Out>)) {
+        let Some(duties) = &mut self.duties else { return };
         let (mut out, real) = (Vec::new(), std::time::Instant::now());
-        word(office, &self.record, &mut out);
+        word(duties, &self.record, &mut out);
         self.played.longest = self.played.longest.max(real.elapsed());
         for o in out {
             match o {
@@ -354,7 +354,7 @@
                 self.changed(change);
             }
         }
-        self.office(|office, record, out| office.applied(now, index, command, record, out));
+        self.duties(|duties, record, out| duties.applied(now, index, command, record, out));
     }
 
     fn changed(&mut self, change: &Change) {
@@ -390,7 +390,7 @@
         match trouble {
             Trouble::Outage(on) => self.outage = on,
             Trouble::Leader(after) => {
-                self.office = None;
+                self.duties = None;
                 self.term += 1;
                 (0..self.senders.len()).for_each(|n| self.new_line(n));
                 self.at(now + after, Event::Leads(self.term));
@@ -399,14 +399,14 @@
                 self.senders[n].alive = false;
                 let line = self.senders[n].line;
                 self.of_line.remove(&line);
-                self.office(|office, _, _| office.hung_up(line));
+                self.duties(|duties, _, _| duties.hung_up(line));
                 if let Some(after) = back {
                     self.at(now + after, Event::Starts(n));
                 }
             }
             Trouble::Silent(n, lasts) => self.senders[n].silent_until = now + lasts,
             Trouble::Person(word) => {
-                self.office(|office, record, out| office.order(now, 0, &word, record, out))
+                self.duties(|duties, record, out| duties.order(now, 0, &word, record, out))
             }
         }
     }
@@ -414,7 +414,7 @@
     fn new_line(&mut self, n: usize) {
         let old = self.senders[n].line;
         self.of_line.remove(&old);
-        self.office(|office, _, _| office.hung_up(old));
+        self.duties(|duties, _, _| duties.hung_up(old));
         self.senders[n].line = self.next_line;
         self.senders[n].open = false;
         self.of_line.insert(self.next_line, n);
@@ -606,7 +606,7 @@
     pub gap_ms: u64,
     /// In the middle.
     pub gap_p50_ms: u64,
-    /// Longest turn of the office, in milliseconds of this machine.
+    /// Longest turn of the leader, in milliseconds of this machine.
     pub turn_ms: f64,
     /// Breaches: two policies in a zone, a false halt, a worse policy that got past its first stage.
     pub broken: u64,
--- a/lab/src/zones.rs
+++ b/lab/src/zones.rs
@@ -3,7 +3,7 @@
 //! row, waits, and tries another zone. All is drawn from one seed.
 
 use crate::due::At;
-use raildeal::keeper::office::{Line, Office, Out, Rules};
+use raildeal::keeper::leader::{LeaderDuties, Line, Out, Rules};
 use raildeal::keeper::record::{Command, Phase, Record};
 use raildeal::keeper::wire::{
     lot, Counts, FromAgent, FromPerson, Grant, Listed, Seen, ToAgent, ToPerson, View, Want,
@@ -22,7 +22,7 @@
 const WAY: Time = 3 * MS;
 /// Until the record has what is proposed.
 const COMMIT: Time = 15 * MS;
-/// The driver tells the office the time this often.
+/// The driver tells the leader the time this often.
 const TICK: Time = 50 * MS;
 /// A call that is not answered by then timed out.
 const PATIENCE: Time = 2_500 * MS;
@@ -54,7 +54,7 @@
     pub traffic: f64,
     /// For so long.
     pub lasts: Time,
-    /// The office's rules.
+    /// The leader's rules.
     pub rules: Rules,
     /// For all that is drawn.
     pub seed: u64,
@@ -140,7 +140,7 @@
     pub answers: Vec<(Time, ToPerson)>,
     /// Commands in the record.
     pub commands: u64,
-    /// Longest time that one look of the office took, of the machine's own time.
+    /// Longest time that one look of the leader took, of the machine's own time.
     pub longest_look: std::time::Duration,
 }
 
@@ -283,7 +283,7 @@
     liars: BTreeMap<usize, usize>,
     traffic: f64,
     record: Record,
-    office: Office,
+    duties: LeaderDuties,
     term: u64,
     index: u64,
     names: Vec<String>,
@@ -329,7 +329,7 @@
     let list = list.collect();
     let record = Record::default();
     let mut world = World {
-        office: Office::new(plan.rules.clone(), 1, 0, &record),
+        duties: LeaderDuties::new(plan.rules.clone(), 1, 0, &record),
         of_line: (0..plan.senders).map(|n| (n as Line + 1, n)).collect(),
         next_line: plan.senders as Line + 1,
         endpoints: vec![calm; all],
@@ -400,7 +400,7 @@
             }
             Event::ToOffice(line, word) => {
                 let mut out = Vec::new();
-                self.office.hear(self.now, line, &word, &self.record, &mut out);
+                self.duties.hear(self.now, line, &word, &self.record, &mut out);
                 self.carry(out);
             }
             Event::ToAgent(line, word) => self.told(line, word),
@@ -414,7 +414,7 @@
                 self.at(self.now + TICK, Event::Tick);
                 let mut out = Vec::new();
                 let real = std::time::Instant::now();
-                self.office.tick(self.now, &self.record, &mut out);
+                self.duties.tick(self.now, &self.record, &mut out);
                 self.played.longest_look = self.played.longest_look.max(real.elapsed());
                 self.carry(out);
                 self.stranded();
@@ -433,7 +433,7 @@
             }
         }
         let mut out = Vec::new();
-        self.office.applied(self.now, self.index, command, &self.record, &mut out);
+        self.duties.applied(self.now, self.index, command, &self.record, &mut out);
         self.carry(out);
     }
 
@@ -478,12 +478,12 @@
             Trouble::Liars(who, zone) => self.liars.extend(who.into_iter().map(|n| (n, zone))),
             Trouble::Leader => {
                 self.term += 1;
-                self.office = Office::new(self.plan.rules.clone(), self.term, self.now, &self.record);
+                self.duties = LeaderDuties::new(self.plan.rules.clone(), self.term, self.now, &self.record);
                 (0..self.senders.len()).for_each(|n| self.new_line(n));
             }
             Trouble::Restart(who) => {
                 for n in who {
-                    self.office.hung_up(self.senders[n].line);
+                    self.duties.hung_up(self.senders[n].line);
                     self.new_line(n);
                     let s = &mut self.senders[n];
                     (s.boot, s.report, s.has, s.view) = (s.boot + 1, 0, 0, View::default());
@@ -501,7 +501,7 @@
             Trouble::Traffic(times) => self.traffic = self.plan.traffic * times,
             Trouble::Person(word) => {
                 let mut out = Vec::new();
-                self.office.order(self.now, 0, &word, &self.record, &mut out);
+                self.duties.order(self.now, 0, &word, &self.record, &mut out);
                 self.carry(out);
             }
         }
@@ -816,7 +816,7 @@
     pub begun: u64,
     /// Commands in the record.
     pub commands: u64,
-    /// Longest look of the office, in milliseconds of this machine.
+    /// Longest look of the leader, in milliseconds of this machine.
     pub look_ms: f64,
     /// Breaches: leaves of other zones, destinations without a route, endpoints toppled, what took longer than it may.
     pub broken: u32,
--- a/src/keeper/config.rs
+++ b/src/keeper/config.rs
@@ -1,6 +1,6 @@
 //! The file of a keeper. All its faults are told at the start, each by the name of its field.
 
-use super::office::Rules;
+use super::leader::Rules;
 use super::table::federation::MOST_SITES;
 use super::table::voice::{Place, Settings, MOST_AT};
 use ipnet::IpNet;
@@ -141,7 +141,7 @@
     pub peers: BTreeMap<u64, SocketAddr>,
     /// Addresses that agents and persons may speak from.
     pub agents: Vec<IpNet>,
-    /// What the office goes by.
+    /// What the leader goes by.
     pub rules: Rules,
     /// The federation that the site is in.
     pub federation: Option<Settings>,
--- a/src/keeper/driver.rs
+++ b/src/keeper/driver.rs
@@ -8,8 +8,8 @@
 use crate::keeper::begin::Begin;
 use crate::keeper::config::Config;
 use crate::keeper::group::Group;
+use crate::keeper::leader::{LeaderDuties, Line};
 use crate::keeper::log::{Keep, Piece, Unsaved};
-use crate::keeper::office::{Line, Office};
 use crate::keeper::table::voice::Voice;
 use crate::keeper::wire::{FromAgent, FromPerson};
 use crate::store::worker::Lent;
@@ -94,7 +94,7 @@
     door: Door,
     executor: Rc<LocalExecutor<'static>>,
     stage: Stage,
-    office: Option<Office>,
+    duties: Option<LeaderDuties>,
     /// When a leader's beat was seen in the record last, while there was a leader.
     led: Option<Time>,
     /// Lent to its thread while that writes.
--- a/src/keeper/driver/accept.rs
+++ b/src/keeper/driver/accept.rs
@@ -5,7 +5,7 @@
 use super::{sites, Door, In, LATER};
 use crate::keeper::config::Config;
 use crate::keeper::frames::{self, Broken};
-use crate::keeper::office::Line;
+use crate::keeper::leader::Line;
 use crate::keeper::wire::{Hello, Who, MOST};
 use async_executor::LocalExecutor;
 use async_io::Async;
--- a/src/keeper/driver/event_loop.rs
+++ b/src/keeper/driver/event_loop.rs
@@ -3,8 +3,8 @@
 use super::peers::send;
 use super::{Driver, In, Stage, LATER};
 use crate::keeper::group::{Event, ELECTION};
+use crate::keeper::leader::{LeaderDuties, Out};
 use crate::keeper::log::{Keep, Piece, Unsaved};
-use crate::keeper::office::{Office, Out};
 use crate::keeper::record::Command;
 use crate::keeper::table::voice::{self, Voice};
 use crate::keeper::wire::ToPerson;
@@ -22,13 +22,13 @@
 /// What follows from one step of the group.
 #[derive(Default)]
 struct Effects {
-    /// What the office wants.
+    /// What the leader wants.
     out: Vec<Out>,
     /// What the voice wants.
     said: Vec<voice::Out>,
     /// Keepers came or went.
     members: bool,
-    /// The office begins.
+    /// The leader begins.
     begins: bool,
     /// It ends.
     ends: bool,
@@ -85,8 +85,8 @@
             group.tick();
         }
         let mut out = Vec::new();
-        if let Some(office) = self.office.as_mut().filter(|_| group.leads_for_certain()) {
-            office.tick(now, group.record(), &mut out);
+        if let Some(duties) = self.duties.as_mut().filter(|_| group.leads_for_certain()) {
+            duties.tick(now, group.record(), &mut out);
         }
         self.carry_out(out);
         self.tick_voice();
@@ -212,8 +212,8 @@
         if let Some(voice) = &mut self.voice {
             voice.applied(now, command, group.record(), &mut effects.said);
         }
-        if let Some(office) = &mut self.office {
-            office.applied(now, index, command, group.record(), &mut effects.out);
+        if let Some(duties) = &mut self.duties {
+            duties.applied(now, index, command, group.record(), &mut effects.out);
         }
     }
 
@@ -228,17 +228,17 @@
         }
     }
 
-    /// Begins the office where this keeper leads by now, and ends it where it leads no more.
+    /// Begins the leader where this keeper leads by now, and ends it where it leads no more.
     fn begin_or_end_office(&mut self, now: Time, effects: &mut Effects) {
         let Stage::Takes(group) = &self.stage else { return };
         let term = group.term();
-        if group.is_ready_to_lead() && self.office.is_none() {
+        if group.is_ready_to_lead() && self.duties.is_none() {
             effects.begins = true;
             log::info!("{}: leads in term {term}", self.who());
-            let office = Office::new(self.config.rules.clone(), term, now, group.record());
-            self.office = Some(office.led(now, self.led));
+            let duties = LeaderDuties::new(self.config.rules.clone(), term, now, group.record());
+            self.duties = Some(duties.led(now, self.led));
         }
-        if group.leader() != group.me() && self.office.take().is_some() {
+        if group.leader() != group.me() && self.duties.take().is_some() {
             log::info!("{}: leads no more", self.who());
             effects.ends = true;
             self.changing = None;
--- a/src/keeper/driver/receive.rs
+++ b/src/keeper/driver/receive.rs
@@ -33,7 +33,7 @@
                 self.voice.iter_mut().for_each(|voice| voice.hung_up(line));
                 self.lines.remove(&line);
                 self.asked.remove(&line);
-                self.office.iter_mut().for_each(|office| office.hung_up(line));
+                self.duties.iter_mut().for_each(|duties| duties.hung_up(line));
             }
         }
         Ok(())
--- a/src/keeper/driver/requests.rs
+++ b/src/keeper/driver/requests.rs
@@ -4,13 +4,13 @@
 use super::{Driver, In, Stage};
 use crate::keeper::frames;
 use crate::keeper::group::Member;
-use crate::keeper::office::{Line, Out};
+use crate::keeper::leader::{Line, Out};
 use crate::keeper::wire::{FromAgent, FromPerson, Status, TableOrder, ToAgent, ToPerson, MOST};
 use serde::Serialize;
 use std::net::SocketAddr;
 
 impl Driver {
-    /// Does what the office wants.
+    /// Does what the leader wants.
     pub(super) fn carry_out(&mut self, out: Vec<Out>) {
         for what in out {
             match what {
@@ -56,7 +56,7 @@
         (status.site, status.keeper) = (self.config.site.clone(), self.config.keeper);
         if let Stage::Takes(group) = &self.stage {
             // One that was elected leads when it knows all that was agreed before.
-            let leads = group.leader() != group.me() || self.office.is_some();
+            let leads = group.leader() != group.me() || self.duties.is_some();
             (status.leader, status.term) = (if leads { group.leader() } else { 0 }, group.term());
             status.version = group.record().version;
             status.keepers = group.voters().to_vec();
@@ -78,9 +78,9 @@
     pub(super) fn agent(&mut self, line: Line, word: &FromAgent) {
         let now = self.now();
         let mut out = Vec::new();
-        match (&mut self.stage, &mut self.office) {
-            (Stage::Takes(group), Some(office)) if group.leads_for_certain() => {
-                office.hear(now, line, word, group.record(), &mut out);
+        match (&mut self.stage, &mut self.duties) {
+            (Stage::Takes(group), Some(duties)) if group.leads_for_certain() => {
+                duties.hear(now, line, word, group.record(), &mut out);
             }
             _ => out.push(Out::Say(line, ToAgent::Elsewhere(self.leader()))),
         }
@@ -91,8 +91,8 @@
         let now = self.now();
         let elsewhere = ToPerson::Elsewhere(self.leader());
         let mut out = Vec::new();
-        match (&mut self.stage, &mut self.office) {
-            (Stage::Takes(group), Some(office)) if group.leads_for_certain() => {
+        match (&mut self.stage, &mut self.duties) {
+            (Stage::Takes(group), Some(duties)) if group.leads_for_certain() => {
                 self.asked.insert(line);
                 match word {
                     FromPerson::Table(order @ (TableOrder::Off { .. } | TableOrder::Join { .. }))
@@ -110,7 +110,7 @@
                         Err(no) => out.push(Out::Answer(line, ToPerson::Refused(no.to_string()))),
                     },
                     word => {
-                        office.order(now, line, &word, group.record(), &mut out);
+                        duties.order(now, line, &word, group.record(), &mut out);
                         // What the driver knows can be told in any case.
                         let none = |o: &Out| matches!(o, Out::Answer(l, ToPerson::Refused(_)) if *l == line);
                         if word == FromPerson::Status && out.iter().any(none) {
--- a/src/keeper/driver/sites.rs
+++ b/src/keeper/driver/sites.rs
@@ -7,7 +7,7 @@
 use super::trouble::Wrong;
 use super::{draw, transport, Door, Driver, In, Stage, PEER_QUEUE};
 use crate::keeper::frames::{self, Broken};
-use crate::keeper::office::Line;
+use crate::keeper::leader::Line;
 use crate::keeper::table::voice::{Came, Out, Voice, Word};
 use crate::keeper::wire::{Hello, TableOrder, Who, MOST, VERSION};
 use async_channel::{Receiver, Sender};
@@ -90,7 +90,7 @@
     terms: BTreeMap<u64, (u64, u64)>,
     /// Addresses that sites may speak from.
     pub(super) allowed: Rc<RefCell<BTreeSet<IpAddr>>>,
-    /// What the office was told last: the version, the leader, the lease.
+    /// What the leader was told last: the version, the leader, the lease.
     told: Option<(u64, u64, Option<u64>)>,
 }
 
@@ -263,10 +263,10 @@
         self.tell_office(true);
     }
 
-    /// Tells the office how the federation stands: at each change, and as time passes.
+    /// Tells the leader how the federation stands: at each change, and as time passes.
     pub(super) fn tell_office(&mut self, tick: bool) {
         let now = self.now();
-        let (Some(voice), Some(office), Stage::Takes(group)) = (&self.voice, &mut self.office, &self.stage)
+        let (Some(voice), Some(duties), Stage::Takes(group)) = (&self.voice, &mut self.duties, &self.stage)
         else {
             return;
         };
@@ -277,7 +277,7 @@
         }
         self.sites.told = stands;
         let mut out = Vec::new();
-        office.federation(now, Some(known.clone()), group.record(), &mut out);
+        duties.federation(now, Some(known.clone()), group.record(), &mut out);
         self.carry_out(out);
     }
 
--- a/src/keeper/driver/start.rs
+++ b/src/keeper/driver/start.rs
@@ -142,7 +142,7 @@
             door,
             executor,
             stage,
-            office: None,
+            duties: None,
             led: None,
             keep: Lent::new(Worker::start().map_err(|e| e.to_string())?, keep, Keep::save),
             full: None,
--- a/src/keeper/office.rs
+++ b/src/keeper/leader.rs
@@ -3,7 +3,7 @@
 //!
 //! # Leases
 //!
-//! An agent counts 98 in 100 of its lease from when it sent the word that was answered; the office counts 102 in 100 from when it
+//! An agent counts 98 in 100 of its lease from when it sent the word that was answered; the leader counts 102 in 100 from when it
 //! answers. A leader that was deposed and does not know it must not go on renewing for long: it renews only until [`Rules::sure_ms`]
 //! after the moment at which it proposed the last beat that the record has. What it proposed after its successor was elected is
 //! never there, so it renews nothing later than that after the election; its successor counts all leases of the record from its own
@@ -71,7 +71,7 @@
     until: Time,
     /// The highest report that was counted.
     report: u64,
-    /// A word that is not answered yet, as the office is not sure of itself.
+    /// A word that is not answered yet, as the leader is not sure of itself.
     owed: Option<u64>,
     has: u64,
     /// The version of the last view that was said over this line, and when.
@@ -111,9 +111,9 @@
     at: Time,
 }
 
-/// The office of one term.
+/// The leader of one term.
 #[derive(Clone, Debug)]
-pub struct Office {
+pub struct LeaderDuties {
     rules: Rules,
     term: u64,
     sessions: BTreeMap<String, Session>,
@@ -138,15 +138,15 @@
     beats: VecDeque<(u64, Time)>,
     beat: u64,
     counted: Time,
-    /// Nobody here knows for how long nobody counted before this office.
+    /// Nobody here knows for how long nobody counted before this term.
     unknown_gap: bool,
     sure_until: Time,
 }
 
-impl Office {
+impl LeaderDuties {
     /// Begins with nothing but the record. Leases that an earlier term gave may still run: all of them count as renewed now.
-    pub fn new(rules: Rules, term: u64, now: Time, record: &Record) -> Office {
-        let mut office = Office {
+    pub fn new(rules: Rules, term: u64, now: Time, record: &Record) -> LeaderDuties {
+        let mut duties = LeaderDuties {
             term,
             sessions: BTreeMap::new(),
             names: BTreeMap::new(),
@@ -172,15 +172,15 @@
             sure_until: 0,
             rules,
         };
-        let until = now + longer(office.rules.lease_ms.saturating_add(office.rules.sure_ms));
+        let until = now + longer(duties.rules.lease_ms.saturating_add(duties.rules.sure_ms));
         for (sender, m) in record.roster.iter().filter(|(_, m)| m.live) {
-            office.meet(sender, m.boot, &m.zone, None, until, 0);
+            duties.meet(sender, m.boot, &m.zone, None, until, 0);
         }
-        office
+        duties
     }
 
     /// Tells when this keeper saw a leader in office last, before it took over itself; nothing, where it never did.
-    pub fn led(mut self, now: Time, at: Option<Time>) -> Office {
+    pub fn led(mut self, now: Time, at: Option<Time>) -> LeaderDuties {
         (self.roll, self.switch) = (Roll::new(now, at), Switch::new(now, at));
         // The first beat counts the time between: nobody else does.
         (self.counted, self.unknown_gap) = (at.unwrap_or(now), at.is_none());
--- a/src/keeper/office/announce.rs
+++ b/src/keeper/leader/announce.rs
@@ -1,6 +1,6 @@
 //! What is said to senders of policies and routing tables, and what they answer.
 
-use super::{Line, Office, Out, AGAIN};
+use super::{LeaderDuties, Line, Out, AGAIN};
 use crate::keeper::ears::OFFERS;
 use crate::keeper::record::{Command, Record};
 use crate::keeper::table::switch::{Known, Switch};
@@ -8,7 +8,7 @@
 use crate::keeper::wire::{FromSender, ToAgent, ToPerson};
 use crate::Time;
 
-impl Office {
+impl LeaderDuties {
     /// What a sender says of tables. What it has it says right behind its first word, before the record has its session.
     pub(super) fn hear_tables(
         &mut self,
@@ -35,7 +35,7 @@
         }
     }
 
-    /// The federation is known to stand so, or time has passed: to be told at each change and some ten times a second, and when the office
+    /// The federation is known to stand so, or time has passed: to be told at each change and some ten times a second, and when the leader
     /// begins, before a sender is heard. Nothing, where the site is in none.
     pub fn federation(&mut self, now: Time, known: Option<Known>, record: &Record, out: &mut Vec<Out>) {
         self.known = known;
@@ -90,7 +90,7 @@
     }
 
     /// Says something to each sender that has a session, with the long words of one turn.
-    fn each(&mut self, mut say: impl FnMut(&mut Office, &str, &mut usize)) {
+    fn each(&mut self, mut say: impl FnMut(&mut LeaderDuties, &str, &mut usize)) {
         let mut offers = OFFERS;
         for sender in self.sessions.keys().cloned().collect::<Vec<_>>() {
             say(self, &sender, &mut offers);
@@ -98,11 +98,11 @@
     }
 
     pub(super) fn say_all_tables(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
-        self.each(|office, sender, offers| office.say_tables(now, sender, record, offers, out));
+        self.each(|duties, sender, offers| duties.say_tables(now, sender, record, offers, out));
     }
 
     pub(super) fn say_all_policies(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
-        self.each(|office, sender, offers| office.say_policies(now, sender, record, offers, out));
+        self.each(|duties, sender, offers| duties.say_policies(now, sender, record, offers, out));
     }
 }
 
--- a/src/keeper/office/capacity.rs
+++ b/src/keeper/leader/capacity.rs
@@ -1,6 +1,6 @@
 //! How much of the traffic of a zone the other zones can bear, and how much a zone that is returned to can take. Decides nothing.
 
-use super::Office;
+use super::LeaderDuties;
 use crate::keeper::record::{Phase, Record, Zone};
 use crate::keeper::zones::bearing::{bearable, Lists, Rest};
 use crate::keeper::zones::cold::{Step, PRESSED};
@@ -16,7 +16,7 @@
 /// The first of them lets in so great a part.
 const FIRST_STEP: f64 = 0.5;
 
-impl Office {
+impl LeaderDuties {
     /// Who stays out of a zone that is being returned to: of each destination as many come in as what it takes by now has room for,
     /// in quarters and at most half of them at once. Empty where all come in.
     pub(super) fn still_out(&self, zone: &str, z: &Zone, step: Step) -> Vec<(u16, f32)> {
--- a/src/keeper/office/decide.rs
+++ b/src/keeper/leader/decide.rs
@@ -1,7 +1,7 @@
 //! Which zone is left or returned to next, by the evidence and by what operators wish: one order at the most.
 
 use super::capacity::{comes, part_of};
-use super::{Office, Out};
+use super::{LeaderDuties, Out};
 use crate::keeper::record::{Command, Phase, Record, Wish, Zone};
 use crate::keeper::wire::ZoneWish;
 use crate::keeper::zones::cold::{Share, Step};
@@ -15,7 +15,7 @@
 /// An order: the zone, its phase, who is out, returns that failed, and why.
 type Next = (String, Phase, Vec<(u16, f32)>, u32, String);
 
-impl Office {
+impl LeaderDuties {
     pub(super) fn follow(&mut self, now: Time, record: &Record) {
         let back = record.zones.iter().filter(|(_, z)| z.phase == Phase::Returning);
         let back = back.map(|(zone, z)| {
--- a/src/keeper/office/orders.rs
+++ b/src/keeper/leader/orders.rs
@@ -1,6 +1,6 @@
 //! Orders of operators: checked, proposed, and answered when the record has them.
 
-use super::{Asked, Line, Office, Out, Sought};
+use super::{Asked, LeaderDuties, Line, Out, Sought};
 use crate::keeper::policy::register::Change;
 use crate::keeper::policy::rollout::Roll;
 use crate::keeper::record::{Command, Phase, Record, Wish};
@@ -11,8 +11,8 @@
 /// Orders of people that wait for the record, at the most.
 const MOST_WAITING: usize = 100;
 
-impl Office {
-    /// An operator orders something over a line; answered at once, or when the record has it. Of the status, what the office does not
+impl LeaderDuties {
+    /// An operator orders something over a line; answered at once, or when the record has it. Of the status, what the leader does not
     /// know (site, keepers) is left for the driver to fill in.
     pub fn order(&mut self, now: Time, line: Line, word: &FromPerson, record: &Record, out: &mut Vec<Out>) {
         let answer = match word {
--- a/src/keeper/office/rules.rs
+++ b/src/keeper/leader/rules.rs
@@ -4,7 +4,7 @@
 use crate::keeper::zones;
 use serde::Deserialize;
 
-/// What the office is to go by; from the keeper's file.
+/// What the leader is to go by; from the keeper's file.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Rules {
--- a/src/keeper/office/sessions.rs
+++ b/src/keeper/leader/sessions.rs
@@ -2,7 +2,7 @@
 
 use super::announce::switched;
 use super::orders::policy;
-use super::{longer, Joining, Line, Office, Out, Session, AGAIN};
+use super::{longer, Joining, LeaderDuties, Line, Out, Session, AGAIN};
 use crate::keeper::ears::OFFERS;
 use crate::keeper::record::{Command, Record};
 use crate::keeper::wire::{FromAgent, FromSender, Grant, Health, Listed, Print, Seen, ToAgent, Want};
@@ -36,7 +36,7 @@
     stored: Option<&'a [(u64, Print)]>,
 }
 
-impl Office {
+impl LeaderDuties {
     pub(super) fn meet(
         &mut self,
         sender: &str,
@@ -260,7 +260,7 @@
         self.joining.insert(sender.clone(), joining);
     }
 
-    /// Renews a session, or owes it until the office is sure of itself.
+    /// Renews a session, or owes it until the leader is sure of itself.
     pub(super) fn renew(&mut self, now: Time, line: Line, report: u64, record: &Record, out: &mut Vec<Out>) {
         let sure = now < self.sure_until && !self.switch.bars(record);
         let (lease_ms, until) = (self.rules.lease_ms, now + longer(self.rules.lease_ms));
@@ -299,7 +299,7 @@
         self.sought.retain(|s| s.line != line);
     }
 
-    /// Answers what was owed until the office is sure of itself.
+    /// Answers what was owed until the leader is sure of itself.
     pub(super) fn pay(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
         if now >= self.sure_until {
             return;
--- a/src/keeper/office/status.rs
+++ b/src/keeper/leader/status.rs
@@ -1,12 +1,12 @@
 //! What an operator is told of senders and zones.
 
-use super::Office;
+use super::LeaderDuties;
 use crate::keeper::record::{Phase, Record};
 use crate::keeper::wire::Status;
 use crate::keeper::zones::evidence::Verdict;
 use std::collections::BTreeMap;
 
-impl Office {
+impl LeaderDuties {
     pub(super) fn status(&self, record: &Record) -> Status {
         let live = record.roster.iter().filter(|(_, m)| m.live);
         let senders = live.map(|(name, _)| (name.clone(), self.sessions.get(name).map_or(0, |s| s.has)));
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -1,6 +1,6 @@
 //! The agreed record of a site: 3 or 5 keepers hold it, agents in the senders follow it.
 //!
-//! From the bottom: [`wire`] has the words that are said, [`record`] what all keepers agree on, [`office`] what the leader alone
+//! From the bottom: [`wire`] has the words that are said, [`record`] what all keepers agree on, [`leader`] what the leader alone
 //! does with it (sessions, evidence, leases), [`zones`] what it judges zones by. These read no clock and open no socket. What carries them stands above.
 //!
 //! The platform's senders share nothing: there none of this is built.
@@ -11,8 +11,8 @@
 pub mod ears;
 pub mod frames;
 pub mod group;
+pub mod leader;
 pub mod log;
-pub mod office;
 pub mod policy;
 pub mod record;
 pub mod table;
--- a/src/keeper/table/voice.rs
+++ b/src/keeper/table/voice.rs
@@ -14,7 +14,7 @@
 //!
 //! # Leases
 //!
-//! They are as the senders' ([`office`](crate::keeper::office)): the asker believes 98 in 100 of it from when it asked, the site that leads
+//! They are as the senders' ([`leader`](crate::keeper::leader)): the asker believes 98 in 100 of it from when it asked, the site that leads
 //! counts 102 in 100 from when it answers, and it answers only until [`SURE_MS`] after it proposed the last beat that the record has. How
 //! long they are stands in the record before the first one is given. A new leader counts from its own start what an earlier one may have
 //! given.
@@ -23,8 +23,8 @@
 use super::switch::Known;
 use crate::keeper::begin::{admit, Begin, Heard};
 use crate::keeper::group::{Event, Fatal, Group, Member, ELECTION};
+use crate::keeper::leader::Line;
 use crate::keeper::log::{Base, Identity, Piece};
-use crate::keeper::office::Line;
 use crate::keeper::record::{self, Record};
 use crate::keeper::wire::{TableOrder, ToPerson};
 use crate::Time;
--- a/tests/model_zones.rs
+++ b/tests/model_zones.rs
@@ -1,12 +1,12 @@
 //! All orders of what can happen between an agreed log, offices that are deposed, stopped and woken, and three senders, over the
-//! unchanged machines. The log stands for the keepers: what an office proposes is committed only in the term that is the last one
+//! unchanged machines. The log stands for the keepers: what a leader proposes is committed only in the term that is the last one
 //! elected, or is inherited by the next.
 #![cfg(feature = "fleet")]
 
 #[path = "common/printed.rs"]
 mod printed;
 
-use raildeal::keeper::office::{Office, Out, Rules};
+use raildeal::keeper::leader::{LeaderDuties, Out, Rules};
 use raildeal::keeper::record::{Command, Phase, Record};
 use raildeal::keeper::wire::{Counts, FromAgent, Listed, Seen, ToAgent, Want};
 use stateright::{Checker, Model, Property};
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug)]
 struct Leader {
     term: u64,
-    office: Office,
+    duties: LeaderDuties,
     record: Record,
     applied: usize,
     proposed: Vec<Command>,
@@ -131,9 +131,9 @@
 impl Zones {
     fn lead(&self, s: &State, term: u64, record: Record, applied: usize) -> Leader {
         let begun = if self.fault == Fault::SkipsWait { s.now.saturating_sub(5_000) } else { s.now };
-        let office = Office::new(rules(), term, (begun + 10_000) * MS, &record);
+        let duties = LeaderDuties::new(rules(), term, (begun + 10_000) * MS, &record);
         let mut leader =
-            Leader { term, office, record, applied, proposed: Vec::new(), asleep: false, lacks: 0, heard: 0 };
+            Leader { term, duties, record, applied, proposed: Vec::new(), asleep: false, lacks: 0, heard: 0 };
         for n in 0..3u64 {
             let (sender, boot, zone) = (format!("n{n}"), s.boots[n as usize], format!("o{n}"));
             let open = FromAgent::Open { sender, boot, zone, has: 1, stored: None };
@@ -147,7 +147,7 @@
             };
             let mut out = Vec::new();
             for word in [open, tell] {
-                leader.office.hear((s.now + 10_000) * MS, n, &word, &leader.record, &mut out);
+                leader.duties.hear((s.now + 10_000) * MS, n, &word, &leader.record, &mut out);
             }
         }
         leader
@@ -209,7 +209,7 @@
         }
     }
 
-    /// An office hears of all that is committed.
+    /// A leader hears of all that is committed.
     fn catch_up(&self, s: &mut State, at: usize) {
         while s.leaders[at].applied < s.log.len() {
             let (now, index) = (self.clock(s, at), s.leaders[at].applied);
@@ -228,7 +228,7 @@
             self.apply(&mut leader.record, index as u64 + 1, &command);
             leader.applied += 1;
             let (after, mut out) = (leader.record.clone(), Vec::new());
-            leader.office.applied(now, index as u64 + 1, &command, &after, &mut out);
+            leader.duties.applied(now, index as u64 + 1, &command, &after, &mut out);
             let shrunk = after.zones.iter().any(|(n, z)| before.get(n).is_some_and(|e| *e > z.epoch));
             if shrunk || (after.changed != changed && after.epoch <= epoch) {
                 s.wrong.push("an order without a later epoch");
@@ -412,7 +412,7 @@
                 for _ in 0..1 + u8::from(doubled) {
                     let (now, mut out) = (self.clock(&s, at), Vec::new());
                     let leader = &mut s.leaders[at];
-                    leader.office.hear(now, n as u64, &word, &leader.record, &mut out);
+                    leader.duties.hear(now, n as u64, &word, &leader.record, &mut out);
                     self.carry(&mut s, at, out);
                 }
                 self.tick(&mut s, at);
@@ -434,7 +434,7 @@
                     };
                     let (now, mut out) = (self.clock(&s, at), Vec::new());
                     let leader = &mut s.leaders[at];
-                    leader.office.hear(now, n as u64, &word, &leader.record, &mut out);
+                    leader.duties.hear(now, n as u64, &word, &leader.record, &mut out);
                     self.carry(&mut s, at, out);
                 }
             }
@@ -444,14 +444,14 @@
                 let open = FromAgent::Open { sender, boot, zone, has: 0, stored: None };
                 let (now, mut out) = (self.clock(&s, at), Vec::new());
                 let leader = &mut s.leaders[at];
-                leader.office.hear(now, 12, &open, &leader.record, &mut out);
+                leader.duties.hear(now, 12, &open, &leader.record, &mut out);
                 self.carry(&mut s, at, out);
             }
             Action::LapseOld(at) => {
                 s.lapses += 1;
                 let (now, mut out) = (self.clock(&s, at), Vec::new());
                 let leader = &mut s.leaders[at];
-                leader.office.hear(now, 2, &FromAgent::Leave, &leader.record, &mut out);
+                leader.duties.hear(now, 2, &FromAgent::Leave, &leader.record, &mut out);
                 self.carry(&mut s, at, out);
             }
         }
@@ -480,7 +480,7 @@
     fn tick(&self, s: &mut State, at: usize) {
         let (now, mut out) = (self.clock(s, at), Vec::new());
         let leader = &mut s.leaders[at];
-        leader.office.tick(now, &leader.record, &mut out);
+        leader.duties.tick(now, &leader.record, &mut out);
         self.carry(s, at, out);
     }
 }
--- a/tests/tables.rs
+++ b/tests/tables.rs
@@ -8,7 +8,7 @@
 use raildeal::agent::machine::{Entrance, Machine, Needs, Out, Terms};
 use raildeal::agent::register::{Kind, Register, Without};
 use raildeal::keeper::ears::OFFERS;
-use raildeal::keeper::office::{self, Office, Rules};
+use raildeal::keeper::leader::{self, LeaderDuties, Rules};
 use raildeal::keeper::record::{self, Record};
 use raildeal::keeper::table::federation::{self, Federation};
 use raildeal::keeper::table::switch::{self, Known, Switch};
@@ -663,9 +663,9 @@
     }
 }
 
-/// An office whose commands come into its record at once, and a federation whose other site agrees to all.
+/// A leader whose commands come into its record at once, and a federation whose other site agrees to all.
 struct Site {
-    office: Office,
+    duties: LeaderDuties,
     record: Record,
     index: u64,
     now: Time,
@@ -684,30 +684,30 @@
             federation.apply(site, &federation::Command::Join { site, name: format!("s{site}") });
         }
         let (record, now) = (Record::default(), SEC);
-        let office = Office::new(Rules::default(), 1, now, &record).led(now, Some(now));
+        let duties = LeaderDuties::new(Rules::default(), 1, now, &record).led(now, Some(now));
         let (said, answers) = (Vec::new(), Vec::new());
         let mut site =
-            Site { office, record, index: 0, now, federation, linked: true, lease: None, said, answers };
+            Site { duties, record, index: 0, now, federation, linked: true, lease: None, said, answers };
         site.pass(SEC / 10);
         site
     }
 
-    fn carry_out(&mut self, out: Vec<office::Out>) {
+    fn carry_out(&mut self, out: Vec<leader::Out>) {
         for out in out {
             let mut more = Vec::new();
             match out {
-                office::Out::Propose(command) => {
+                leader::Out::Propose(command) => {
                     self.index += 1;
                     self.record.apply(self.index, &command);
-                    self.office.applied(self.now, self.index, &command, &self.record, &mut more);
+                    self.duties.applied(self.now, self.index, &command, &self.record, &mut more);
                 }
-                office::Out::Say(line, word) => self.said.push((line, word)),
-                office::Out::Answer(_, word) => self.answers.push(word),
-                office::Out::Federation(command) if self.linked => {
+                leader::Out::Say(line, word) => self.said.push((line, word)),
+                leader::Out::Answer(_, word) => self.answers.push(word),
+                leader::Out::Federation(command) if self.linked => {
                     let version = self.federation.version + 1;
                     self.federation.apply(version, &command);
                 }
-                office::Out::Federation(_) => {}
+                leader::Out::Federation(_) => {}
             }
             self.carry_out(more);
         }
@@ -737,10 +737,10 @@
                 holds: true,
             };
             let mut out = Vec::new();
-            self.office.federation(self.now, Some(known), &self.record, &mut out);
+            self.duties.federation(self.now, Some(known), &self.record, &mut out);
             self.carry_out(out);
             let mut out = Vec::new();
-            self.office.tick(self.now, &self.record, &mut out);
+            self.duties.tick(self.now, &self.record, &mut out);
             self.carry_out(out);
         }
     }
@@ -749,7 +749,7 @@
         let mut out = Vec::new();
         self.said.clear();
         // What comes together comes before the record has anything of it.
-        words.iter().for_each(|w| self.office.hear(self.now, line, w, &self.record, &mut out));
+        words.iter().for_each(|w| self.duties.hear(self.now, line, w, &self.record, &mut out));
         self.carry_out(out);
         self.said.iter().map(|(_, word)| word.clone()).collect()
     }
@@ -757,7 +757,7 @@
     fn order(&mut self, word: TableOrder) {
         let mut out = Vec::new();
         self.answers.clear();
-        self.office.order(self.now, 99, &FromPerson::Table(word), &self.record, &mut out);
+        self.duties.order(self.now, 99, &FromPerson::Table(word), &self.record, &mut out);
         self.carry_out(out);
     }
 
@@ -849,7 +849,7 @@
     assert_eq!(site.record.tables.register.stance, Stance::Open);
     // A leader that does not know for how long nobody led believes nothing of the lease in the record: no sender hears of an open door.
     (site.linked, site.lease) = (false, None);
-    site.office = Office::new(Rules::default(), 2, site.now, &site.record).led(site.now, None);
+    site.duties = LeaderDuties::new(Rules::default(), 2, site.now, &site.record).led(site.now, None);
     let known = Known {
         name: "f".into(),
         me: 1,
@@ -860,7 +860,7 @@
         holds: true,
     };
     let mut out = Vec::new();
-    site.office.federation(site.now, Some(known), &site.record, &mut out);
+    site.duties.federation(site.now, Some(known), &site.record, &mut out);
     // The word to hold is not in the record yet.
     let mut held = Vec::new();
     std::mem::swap(&mut held, &mut out);
