--- a/lab/src/policy.rs
+++ b/lab/src/policy.rs
@@ -3,7 +3,7 @@
 //! drawn from one seed.
 
 use crate::due::At;
-use raildeal::keeper::leader::{LeaderDuties, Line, Out, Rules};
+use raildeal::keeper::leader::{ConnectionId, LeaderDuties, Out, Rules};
 use raildeal::keeper::policy::register::{Change, Step};
 use raildeal::keeper::record::{Command, Record};
 use raildeal::keeper::wire::{FromAgent, FromPerson, Health, Print, ToAgent, ToPerson};
@@ -155,7 +155,7 @@
     name: String,
     zone: usize,
     boot: u64,
-    line: Line,
+    line: ConnectionId,
     alive: bool,
     silent_until: Time,
     open: bool,
@@ -176,8 +176,8 @@
 
 enum Event {
     Report(usize, u64),
-    ToOffice(Line, FromAgent),
-    ToAgent(Line, ToAgent),
+    ToLeader(ConnectionId, FromAgent),
+    ToAgent(ConnectionId, ToAgent),
     Apply(u64, Command),
     Leads(u64),
     Starts(usize),
@@ -192,8 +192,8 @@
     events: BinaryHeap<Reverse<At<Event>>>,
     number: u64,
     senders: Vec<Sender>,
-    of_line: BTreeMap<Line, usize>,
-    next_line: Line,
+    of_line: BTreeMap<ConnectionId, usize>,
+    next_line: ConnectionId,
     /// How bad each zone is by itself, and until when what is refused comes in a heap.
     zones: Vec<(f64, Time)>,
     outage: bool,
@@ -214,7 +214,7 @@
         name: format!("n{n}"),
         zone: if n < few { 0 } else { 1 + n % (play.zones - 1) },
         boot: 1,
-        line: n as Line + 1,
+        line: n as ConnectionId + 1,
         alive: true,
         ..Sender::default()
     });
@@ -223,8 +223,8 @@
     let record = Record::default();
     let mut world = World {
         duties: Some(LeaderDuties::new(Rules::default(), 1, 0, &record)),
-        of_line: (0..play.senders).map(|n| (n as Line + 1, n)).collect(),
-        next_line: play.senders as Line + 1,
+        of_line: (0..play.senders).map(|n| (n as ConnectionId + 1, n)).collect(),
+        next_line: play.senders as ConnectionId + 1,
         play: play.clone(),
         rng,
         now: 0,
@@ -291,7 +291,7 @@
         let now = self.now;
         match event {
             Event::Report(n, boot) => self.report(n, boot),
-            Event::ToOffice(line, word) => {
+            Event::ToLeader(line, word) => {
                 self.duties(|duties, record, out| duties.hear(now, line, &word, record, out))
             }
             Event::ToAgent(line, word) => self.told(line, word),
@@ -424,7 +424,7 @@
     fn say(&mut self, n: usize, after: Time, word: FromAgent) {
         if self.now >= self.senders[n].silent_until {
             let line = self.senders[n].line;
-            self.at(self.now + after + WAY, Event::ToOffice(line, word));
+            self.at(self.now + after + WAY, Event::ToLeader(line, word));
         }
     }
 
@@ -438,7 +438,7 @@
         self.played.two += u32::from(numbers.len() > 1);
     }
 
-    fn told(&mut self, line: Line, word: ToAgent) {
+    fn told(&mut self, line: ConnectionId, word: ToAgent) {
         let now = self.now;
         let Some(n) = self.of_line.get(&line).copied() else { return };
         if now < self.senders[n].silent_until || !self.senders[n].alive {
--- a/lab/src/zones.rs
+++ b/lab/src/zones.rs
@@ -3,7 +3,7 @@
 //! row, waits, and tries another zone. All is drawn from one seed.
 
 use crate::due::At;
-use raildeal::keeper::leader::{LeaderDuties, Line, Out, Rules};
+use raildeal::keeper::leader::{ConnectionId, LeaderDuties, Out, Rules};
 use raildeal::keeper::record::{Command, Phase, Record};
 use raildeal::keeper::wire::{
     lot, Counts, FromAgent, FromPerson, Grant, Listed, Seen, ToAgent, ToPerson, View, Want,
@@ -237,7 +237,7 @@
     name: String,
     own: usize,
     boot: u64,
-    line: Line,
+    line: ConnectionId,
     open: bool,
     report: u64,
     sent: BTreeMap<u64, Time>,
@@ -256,8 +256,8 @@
     Message,
     Report(usize),
     Done { sender: usize, boot: u64, zone: usize, dest: u16, begun: Time, came: Came, tries: u32 },
-    ToOffice(Line, FromAgent),
-    ToAgent(Line, ToAgent),
+    ToLeader(ConnectionId, FromAgent),
+    ToAgent(ConnectionId, ToAgent),
     Apply(u64, Command),
     Tick,
 }
@@ -274,8 +274,8 @@
     events: BinaryHeap<Reverse<At<Event>>>,
     number: u64,
     senders: Vec<Sender>,
-    of_line: BTreeMap<Line, usize>,
-    next_line: Line,
+    of_line: BTreeMap<ConnectionId, usize>,
+    next_line: ConnectionId,
     endpoints: Vec<Endpoint>,
     cut: BTreeSet<usize>,
     silenced: BTreeSet<usize>,
@@ -299,7 +299,7 @@
         name: format!("n{n}"),
         own: own(n),
         boot: 1,
-        line: n as Line + 1,
+        line: n as ConnectionId + 1,
         open: false,
         report: 0,
         sent: BTreeMap::new(),
@@ -330,8 +330,8 @@
     let record = Record::default();
     let mut world = World {
         duties: LeaderDuties::new(plan.rules.clone(), 1, 0, &record),
-        of_line: (0..plan.senders).map(|n| (n as Line + 1, n)).collect(),
-        next_line: plan.senders as Line + 1,
+        of_line: (0..plan.senders).map(|n| (n as ConnectionId + 1, n)).collect(),
+        next_line: plan.senders as ConnectionId + 1,
         endpoints: vec![calm; all],
         cut: BTreeSet::new(),
         silenced: BTreeSet::new(),
@@ -398,7 +398,7 @@
             Event::Done { sender, boot, zone, dest, begun, came, tries } => {
                 self.done((sender, boot), zone, dest, begun, came, tries);
             }
-            Event::ToOffice(line, word) => {
+            Event::ToLeader(line, word) => {
                 let mut out = Vec::new();
                 self.duties.hear(self.now, line, &word, &self.record, &mut out);
                 self.carry(out);
@@ -701,7 +701,7 @@
         if !s.open {
             let (sender, boot, zone) = (s.name.clone(), s.boot, format!("own{}", s.own));
             let open = FromAgent::Open { sender, boot, zone, has: s.has, stored: None };
-            self.at(now + WAY, Event::ToOffice(line, open));
+            self.at(now + WAY, Event::ToLeader(line, open));
             return;
         }
         for (begun, zone, dest) in &s.out {
@@ -731,11 +731,11 @@
         let (report, has) = (s.report, s.has);
         self.at(
             now + WAY,
-            Event::ToOffice(line, FromAgent::Tell { report, has, seen, listed, wants, health: Vec::new() }),
+            Event::ToLeader(line, FromAgent::Tell { report, has, seen, listed, wants, health: Vec::new() }),
         );
     }
 
-    fn told(&mut self, line: Line, word: ToAgent) {
+    fn told(&mut self, line: ConnectionId, word: ToAgent) {
         let now = self.now;
         let Some(n) = self.of_line.get(&line).copied() else { return };
         if self.silenced.contains(&self.senders[n].own) {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -181,7 +181,7 @@
     let text = std::fs::read_to_string(file).map_err(|e| vec![e.to_string()]);
     let config = text.and_then(|text| raildeal::keeper::config::Config::from_toml(&text));
     let faults = match config {
-        Ok(config) => raildeal::keeper::driver::run(config).err().into_iter().collect(),
+        Ok(config) => raildeal::keeper::replica::run(config).err().into_iter().collect(),
         Err(faults) => {
             faults.into_iter().map(|fault| format!("{}: {fault}", file.display())).collect::<Vec<_>>()
         }
--- a/src/keeper/leader.rs
+++ b/src/keeper/leader.rs
@@ -47,8 +47,8 @@
 /// What a person hears whose order the record did not have in five times that.
 const UNAGREED: &str = "the keepers did not agree in 5 s; look at the status and say it again";
 
-/// Names a connection; given by the driver and never used twice in one process.
-pub type Line = u64;
+/// Names a connection; given by the replica and never used twice in one process.
+pub type ConnectionId = u64;
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,9 +56,9 @@
     /// Bring this into the record. It may be lost with the term.
     Propose(Command),
     /// Say this to an agent.
-    Say(Line, ToAgent),
+    Say(ConnectionId, ToAgent),
     /// Answer an operator.
-    Answer(Line, ToPerson),
+    Answer(ConnectionId, ToPerson),
     /// Bring this into the federation's record. It may be lost.
     Federation(federation::Command),
 }
@@ -67,14 +67,14 @@
 struct Session {
     id: u32,
     boot: u64,
-    line: Option<Line>,
+    connection: Option<ConnectionId>,
     until: Time,
     /// The highest report that was counted.
     report: u64,
     /// A word that is not answered yet, as the leader is not sure of itself.
     owed: Option<u64>,
     has: u64,
-    /// The version of the last view that was said over this line, and when.
+    /// The version of the last view that was said over this connection, and when.
     told: (u64, Time),
     /// Its lapse is proposed.
     lapsing: bool,
@@ -83,7 +83,7 @@
 #[derive(Clone, Debug)]
 struct Joining {
     boot: u64,
-    line: Line,
+    connection: ConnectionId,
     has: u64,
     at: Time,
     stored: Option<Vec<(u64, Print)>>,
@@ -94,16 +94,16 @@
 /// An order on the federation's record that does not show it yet, and when it was given. It is brought there once: what was void as something
 /// else ran must not come up again when that is over.
 #[derive(Clone, Debug)]
-struct Sought {
-    line: Line,
+struct PendingTableOrder {
+    connection: ConnectionId,
     command: federation::Command,
     at: Time,
 }
 
 /// An order on policies that is not in the record yet.
 #[derive(Clone, Debug)]
-struct Asked {
-    line: Line,
+struct PendingPolicyOrder {
+    connection: ConnectionId,
     word: FromPerson,
     /// The turn that it was proposed on, and as what.
     base: u64,
@@ -118,11 +118,11 @@
     term: u64,
     sessions: BTreeMap<String, Session>,
     names: BTreeMap<u32, String>,
-    lines: BTreeMap<Line, String>,
+    connections: BTreeMap<ConnectionId, String>,
     joining: BTreeMap<String, Joining>,
-    persons: VecDeque<(Line, Command, Time)>,
-    asked: Vec<Asked>,
-    sought: Vec<Sought>,
+    pending_orders: VecDeque<(ConnectionId, Command, Time)>,
+    pending_policy_orders: Vec<PendingPolicyOrder>,
+    pending_table_orders: Vec<PendingTableOrder>,
     roll: Roll,
     switch: Switch,
     /// The federation, where the site is in one.
@@ -150,11 +150,11 @@
             term,
             sessions: BTreeMap::new(),
             names: BTreeMap::new(),
-            lines: BTreeMap::new(),
+            connections: BTreeMap::new(),
             joining: BTreeMap::new(),
-            persons: VecDeque::new(),
-            asked: Vec::new(),
-            sought: Vec::new(),
+            pending_orders: VecDeque::new(),
+            pending_policy_orders: Vec::new(),
+            pending_table_orders: Vec::new(),
             roll: Roll::new(now, Some(now)),
             switch: Switch::new(now, Some(now)),
             known: None,
@@ -172,9 +172,9 @@
             sure_until: 0,
             rules,
         };
-        let until = now + longer(duties.rules.lease_ms.saturating_add(duties.rules.sure_ms));
+        let until = now + leader_side_lease(duties.rules.lease_ms.saturating_add(duties.rules.sure_ms));
         for (sender, m) in record.roster.iter().filter(|(_, m)| m.live) {
-            duties.meet(sender, m.boot, &m.zone, None, until, 0);
+            duties.add_session(sender, m.boot, &m.zone, None, until, 0);
         }
         duties
     }
@@ -195,7 +195,7 @@
             Command::Beat { term, beat, .. } => {
                 if *term == self.term {
                     self.beat_applied(*beat);
-                    self.pay(now, record, out);
+                    self.renew_owed(now, record, out);
                 }
             }
             Command::Order { .. } => {
@@ -206,18 +206,18 @@
                 }
             }
             Command::Wish { .. } => {
-                let done = self.persons.iter().position(|(_, c, _)| c == command);
-                if let Some((line, ..)) = done.and_then(|at| self.persons.remove(at)) {
-                    out.push(Out::Answer(line, ToPerson::Done(index)));
+                let done = self.pending_orders.iter().position(|(_, c, _)| c == command);
+                if let Some((connection, ..)) = done.and_then(|at| self.pending_orders.remove(at)) {
+                    out.push(Out::Answer(connection, ToPerson::Done(index)));
                 }
                 self.looked = 0;
-                self.look(now, record, out);
+                self.decide(now, record, out);
             }
             Command::Slice { term, slice, zone, epoch, .. } => {
                 let stands = record.zones.get(zone).is_some_and(|z| z.slice == (*term, *slice));
                 if *term == self.term && stands && record.zones[zone].epoch == *epoch {
                     self.cold.stands(zone, *slice);
-                    self.hand_out(now, out);
+                    self.send_grants(now, out);
                 }
             }
             Command::Policy { change, .. } => self.changed_policies(now, index, change, record, out),
@@ -245,28 +245,29 @@
         self.beat(now, record, out);
         for (sender, s) in &mut self.sessions {
             if now >= s.until {
-                // Said again each second, should it be lost; by then the session has no line.
+                // Said again each second, should it be lost; by then the session has no connection.
                 (s.lapsing, s.until) = (true, now + AGAIN);
                 out.push(Out::Propose(Command::Lapse { sender: sender.clone(), boot: s.boot }));
             }
         }
         let sessions = &self.sessions;
-        self.lines.retain(|_, name| sessions.get(name).is_some_and(|s| !s.lapsing));
+        self.connections.retain(|_, name| sessions.get(name).is_some_and(|s| !s.lapsing));
         self.joining.retain(|_, j| now < j.at + 2 * AGAIN);
-        while self.persons.front().is_some_and(|(_, _, at)| now >= at + 5 * AGAIN) {
-            if let Some((line, ..)) = self.persons.pop_front() {
-                out.push(Out::Answer(line, ToPerson::Refused(UNAGREED.into())));
+        while self.pending_orders.front().is_some_and(|(_, _, at)| now >= at + 5 * AGAIN) {
+            if let Some((connection, ..)) = self.pending_orders.pop_front() {
+                out.push(Out::Answer(connection, ToPerson::Refused(UNAGREED.into())));
             }
         }
-        let (old, asked): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.asked).into_iter().partition(|a| now >= a.at + 5 * AGAIN);
-        self.asked = asked;
+        let (old, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending_policy_orders)
+            .into_iter()
+            .partition(|a| now >= a.at + 5 * AGAIN);
+        self.pending_policy_orders = waiting;
         for a in old {
-            out.push(Out::Answer(a.line, ToPerson::Refused(UNAGREED.into())));
+            out.push(Out::Answer(a.connection, ToPerson::Refused(UNAGREED.into())));
         }
         self.deciding = self.deciding.filter(|(base, at)| *base == record.epoch && now < at + AGAIN);
         if now >= self.looked + LOOK {
-            self.look(now, record, out);
+            self.decide(now, record, out);
         }
         let change = self.roll.tick(now, record);
         out.extend(change.map(|change| policy(record, change)));
@@ -274,7 +275,7 @@
         self.tick_tables(now, record, out);
         self.say_all_tables(now, record, out);
         self.reserve(now, record, out);
-        self.hand_out(now, out);
+        self.send_grants(now, out);
     }
 
     fn beat(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
@@ -299,6 +300,6 @@
 }
 
 /// So many milliseconds, counted longer than any other clock counts them.
-fn longer(ms: u32) -> Time {
+fn leader_side_lease(ms: u32) -> Time {
     Time::from(ms) * 1_020_000
 }
--- a/src/keeper/leader/announce.rs
+++ b/src/keeper/leader/announce.rs
@@ -1,6 +1,6 @@
 //! What is said to senders of policies and routing tables, and what they answer.
 
-use super::{LeaderDuties, Line, Out, AGAIN};
+use super::{ConnectionId, LeaderDuties, Out, AGAIN};
 use crate::keeper::ears::OFFERS;
 use crate::keeper::record::{Command, Record};
 use crate::keeper::table::switch::{Known, Switch};
@@ -13,13 +13,13 @@
     pub(super) fn hear_tables(
         &mut self,
         now: Time,
-        line: Line,
+        connection: ConnectionId,
         word: &FromSender,
         record: &Record,
         out: &mut Vec<Out>,
     ) {
-        let speaks = self.speaks(line);
-        let joining = self.joining.values_mut().find(|j| j.line == line);
+        let speaks = self.sender_on(connection);
+        let joining = self.joining.values_mut().find(|j| j.connection == connection);
         match (speaks, joining, word) {
             (Some(sender), ..) => {
                 let mut said = Vec::new();
@@ -31,7 +31,7 @@
             }
             (None, Some(joining), FromSender::Has(tables)) => joining.tables = Some(tables.clone()),
             (None, Some(_), _) => {}
-            (None, None, _) => out.push(Out::Say(line, ToAgent::Unknown)),
+            (None, None, _) => out.push(Out::Say(connection, ToAgent::Unknown)),
         }
     }
 
@@ -47,17 +47,17 @@
         self.switch.tick(now, record, self.known.as_ref(), &mut said);
         switched(record, said, out);
         let known = self.known.as_ref();
-        self.sought.retain_mut(|sought| {
-            let shows = known.and_then(|known| Switch::shows(&sought.command, known));
+        self.pending_table_orders.retain_mut(|order| {
+            let shows = known.and_then(|known| Switch::shows(&order.command, known));
             let answer = match shows {
                 Some(Ok(version)) => ToPerson::Done(version),
                 Some(Err(why)) => ToPerson::Refused(why),
-                None if now >= sought.at + 5 * AGAIN => {
+                None if now >= order.at + 5 * AGAIN => {
                     ToPerson::Refused("not agreed in 5 s; look at the status and say it again".into())
                 }
                 None => return true,
             };
-            out.push(Out::Answer(sought.line, answer));
+            out.push(Out::Answer(order.connection, answer));
             false
         });
     }
@@ -71,8 +71,11 @@
         offers: &mut usize,
         out: &mut Vec<Out>,
     ) {
-        let Some((line, member)) = self.line_of(sender).zip(record.roster.get(sender)) else { return };
-        self.roll.say(now, sender, &member.zone, record, offers, &mut |word| out.push(Out::Say(line, word)));
+        let Some((connection, member)) = self.connection_of(sender).zip(record.roster.get(sender)) else {
+            return;
+        };
+        self.roll
+            .say(now, sender, &member.zone, record, offers, &mut |word| out.push(Out::Say(connection, word)));
     }
 
     /// The same of tables.
@@ -84,8 +87,8 @@
         offers: &mut usize,
         out: &mut Vec<Out>,
     ) {
-        let Some(line) = self.line_of(sender) else { return };
-        let say = &mut |word| out.push(Out::Say(line, ToAgent::Table(word)));
+        let Some(connection) = self.connection_of(sender) else { return };
+        let say = &mut |word| out.push(Out::Say(connection, ToAgent::Table(word)));
         self.switch.say(now, sender, record, offers, say);
     }
 
--- a/src/keeper/leader/capacity.rs
+++ b/src/keeper/leader/capacity.rs
@@ -23,7 +23,7 @@
         let rules = &self.rules.zones;
         let lately = self.evidence.lately(zone, self.looked, rules.silent_ms);
         let part = |dest: u16, left: f32| {
-            let now = part_of(&z.out, dest);
+            let now = share_of(&z.out, dest);
             let bears = match step {
                 Step::Unwanted => 1.0,
                 _ => self.cold.bears(zone, dest).unwrap_or(0.0),
@@ -62,9 +62,9 @@
         let Some(rate) = self.lists.route(zone, dest).map(|r| r.rate).filter(|rate| *rate > 0.0) else {
             return by_list;
         };
-        let comes = comes(&self.lists, &self.evidence, zone, dest);
+        let expected_load = expected_load(&self.lists, &self.evidence, zone, dest);
         let topples = if rules.overload_for_ms == 0 { f64::INFINITY } else { rules.overload_factor };
-        let by_load = if comes > 0.0 { rate * rules.headroom / comes } else { by_list };
+        let by_load = if expected_load > 0.0 { rate * rules.headroom / expected_load } else { by_list };
         by_list.max(by_load.min(topples))
     }
 
@@ -96,7 +96,7 @@
 
     /// Who is out of a zone, where more can leave than have left: of destinations that fail there still, what the rest has room for now.
     pub(super) fn grown(&self, zone: &str, z: &Zone, record: &Record) -> Option<Vec<(u16, f32)>> {
-        let stays = |dest: u16| 1.0 - part_of(&z.left, dest);
+        let stays = |dest: u16| 1.0 - share_of(&z.left, dest);
         let span = self.rules.zones.windows_ms.last().copied().unwrap_or(1_000);
         let seen = self.evidence.lately(zone, self.looked, span);
         let fails = |dest: u16| seen.get(&dest).is_some_and(|l| l.bad > l.taken + l.refused);
@@ -104,7 +104,7 @@
             return None;
         }
         // What those that stay would bring elsewhere; some of it is there already, after a call that failed.
-        let load = |dest| f64::from(stays(dest)) * comes(&self.lists, &self.evidence, zone, dest);
+        let load = |dest| f64::from(stays(dest)) * expected_load(&self.lists, &self.evidence, zone, dest);
         let mut out: BTreeMap<u16, f32> = z.left.iter().copied().collect();
         let mut gains = false;
         for (dest, more) in self.parts(zone, record, load) {
@@ -140,7 +140,7 @@
                     rate: route.rate,
                     carried: self.evidence.carried(other, dest),
                     refused: seen.least_refused(),
-                    out: stands.map_or(0.0, |z| part_of(&z.out, dest).into()),
+                    out: stands.map_or(0.0, |z| share_of(&z.out, dest).into()),
                     fails: seen.bad > seen.taken + seen.refused,
                 })
             });
@@ -151,7 +151,7 @@
 }
 
 /// Calls a second that a zone would get for a destination were all senders in it: its part, by the list, of all that is carried there.
-pub(super) fn comes(lists: &Lists, evidence: &Evidence, zone: &str, dest: u16) -> f64 {
+pub(super) fn expected_load(lists: &Lists, evidence: &Evidence, zone: &str, dest: u16) -> f64 {
     let rates = lists.zones().filter_map(|z| Some((z, lists.route(z, dest)?.rate)));
     let (all, carried) =
         rates.fold((0.0, 0.0), |(all, carried), (z, rate)| (all + rate, carried + evidence.carried(z, dest)));
@@ -159,6 +159,6 @@
 }
 
 /// The part of the senders that is out of a destination.
-pub(super) fn part_of(parts: &[(u16, f32)], dest: u16) -> f32 {
+pub(super) fn share_of(parts: &[(u16, f32)], dest: u16) -> f32 {
     parts.iter().find(|(d, _)| *d == dest).map_or(0.0, |(_, part)| *part)
 }
--- a/src/keeper/leader/decide.rs
+++ b/src/keeper/leader/decide.rs
@@ -1,6 +1,6 @@
 //! Which zone is left or returned to next, by the evidence and by what operators wish: one order at the most.
 
-use super::capacity::{comes, part_of};
+use super::capacity::{expected_load, share_of};
 use super::{LeaderDuties, Out};
 use crate::keeper::record::{Command, Phase, Record, Wish, Zone};
 use crate::keeper::wire::ZoneWish;
@@ -28,13 +28,14 @@
         for (zone, z) in record.zones.iter().filter(|(_, z)| z.phase == Phase::Returning) {
             let (lists, evidence, headroom) = (&self.lists, &self.evidence, self.rules.zones.headroom);
             let listed = |dest| {
-                let (left, out) = (part_of(&z.left, dest), part_of(&z.out, dest));
+                let (left, out) = (share_of(&z.left, dest), share_of(&z.out, dest));
                 // Those that are not listed any more get nothing.
                 let rate = lists.route(zone, dest).map(|r| r.rate);
                 rate.map_or(Share::default(), |rate| Share {
                     rate,
                     left: left.into(),
-                    taken: f64::from(left - out) * comes(lists, evidence, zone, dest).min(rate * headroom),
+                    taken: f64::from(left - out)
+                        * expected_load(lists, evidence, zone, dest).min(rate * headroom),
                 })
             };
             if let Some((slice, calls, warm)) = self.cold.reserve(now, zone, listed) {
@@ -45,7 +46,7 @@
     }
 
     /// Looks at the evidence and at what people wish, and proposes one order at the most.
-    pub(super) fn look(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
+    pub(super) fn decide(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
         self.looked = now;
         self.evidence.age(now);
         self.lists.settle();
@@ -77,8 +78,8 @@
             log::info!("zone={zone} phase={phase:?} tries={tries} out={parts:?} why={why}");
             if phase == Phase::Left {
                 let rest = self.rest(&zone, record).into_iter();
-                for (dest, rest) in rest.filter(|(d, _)| part_of(&parts, *d) < 1.0).take(MOST_TOLD) {
-                    let part = part_of(&parts, dest);
+                for (dest, rest) in rest.filter(|(d, _)| share_of(&parts, *d) < 1.0).take(MOST_TOLD) {
+                    let part = share_of(&parts, dest);
                     log::info!(
                         "zone={zone} destination={dest} is left by a part of {part}, as the rest is {rest:?}"
                     );
--- a/src/keeper/leader/orders.rs
+++ b/src/keeper/leader/orders.rs
@@ -1,6 +1,6 @@
 //! Orders of operators: checked, proposed, and answered when the record has them.
 
-use super::{Asked, LeaderDuties, Line, Out, Sought};
+use super::{ConnectionId, LeaderDuties, Out, PendingPolicyOrder, PendingTableOrder};
 use crate::keeper::policy::register::Change;
 use crate::keeper::policy::rollout::Roll;
 use crate::keeper::record::{Command, Phase, Record, Wish};
@@ -12,15 +12,22 @@
 const MOST_WAITING: usize = 100;
 
 impl LeaderDuties {
-    /// An operator orders something over a line; answered at once, or when the record has it. Of the status, what the leader does not
-    /// know (site, keepers) is left for the driver to fill in.
-    pub fn order(&mut self, now: Time, line: Line, word: &FromPerson, record: &Record, out: &mut Vec<Out>) {
+    /// An operator orders something over a connection; answered at once, or when the record has it. Of the status, what the leader does not
+    /// know (site, keepers) is left for the replica to fill in.
+    pub fn order(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        word: &FromPerson,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
         let answer = match word {
             FromPerson::Zone { zone, order, for_s } => {
                 match self.zone_command(zone, *order, *for_s, record) {
                     Ok(command) => {
                         out.push(Out::Propose(command.clone()));
-                        self.persons.push_back((line, command, now));
+                        self.pending_orders.push_back((connection, command, now));
                         return;
                     }
                     Err(answer) => answer,
@@ -34,14 +41,14 @@
                 None => ToPerson::Refused(format!("the record has no text of policy {number}")),
             },
             FromPerson::Propose { .. } | FromPerson::Halt { .. } | FromPerson::Resume | FromPerson::Back => {
-                return self.order_policy(now, line, word, record, out);
+                return self.order_policy(now, connection, word, record, out);
             }
-            FromPerson::Table(word) => return self.order_table(now, line, word, record, out),
+            FromPerson::Table(word) => return self.order_table(now, connection, word, record, out),
             FromPerson::Add { .. } | FromPerson::Remove { .. } => {
                 ToPerson::Refused("keepers are not the office's to change".into())
             }
         };
-        out.push(Out::Answer(line, answer));
+        out.push(Out::Answer(connection, answer));
     }
 
     /// What an order on a zone brings into the record; else what is answered at once.
@@ -65,7 +72,7 @@
         if same {
             return Err(ToPerson::Done(record.version));
         }
-        if self.persons.len() >= MOST_WAITING {
+        if self.pending_orders.len() >= MOST_WAITING {
             return Err(ToPerson::Refused("too many orders wait; again in a second".into()));
         }
         // The record's clock may be a beat behind.
@@ -90,25 +97,39 @@
     }
 
     /// An order on policies, given first at some time: proposed on the turn that stands.
-    fn order_policy(&mut self, at: Time, line: Line, word: &FromPerson, record: &Record, out: &mut Vec<Out>) {
+    fn order_policy(
+        &mut self,
+        at: Time,
+        connection: ConnectionId,
+        word: &FromPerson,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
         let answer = match self.roll.order(word, record) {
             Err(why) => ToPerson::Refused(why),
             Ok(None) => ToPerson::Done(record.version),
-            Ok(Some(_)) if self.asked.len() >= MOST_WAITING => {
+            Ok(Some(_)) if self.pending_policy_orders.len() >= MOST_WAITING => {
                 ToPerson::Refused("too many orders wait; again in a second".into())
             }
             Ok(Some(change)) => {
                 out.push(policy(record, change.clone()));
                 let (word, base) = (word.clone(), record.policies.turn);
-                self.asked.push(Asked { line, word, base, change, at });
+                self.pending_policy_orders.push(PendingPolicyOrder { connection, word, base, change, at });
                 return;
             }
         };
-        out.push(Out::Answer(line, answer));
+        out.push(Out::Answer(connection, answer));
     }
 
     /// An order on the federation and its table: answered at once, or when the federation's record shows it.
-    fn order_table(&mut self, now: Time, line: Line, word: &TableOrder, record: &Record, out: &mut Vec<Out>) {
+    fn order_table(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        word: &TableOrder,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
         let known = self.known.as_ref();
         let none = || ToPerson::Refused("this site is in no federation".into());
         let answer = match (word, known) {
@@ -124,17 +145,17 @@
             _ => match self.switch.order(word, record, known) {
                 Err(why) => ToPerson::Refused(why),
                 Ok(None) => ToPerson::Done(known.map_or(0, |k| k.record.version)),
-                Ok(Some(_)) if self.sought.len() >= MOST_WAITING => {
+                Ok(Some(_)) if self.pending_table_orders.len() >= MOST_WAITING => {
                     ToPerson::Refused("too many orders wait; again in a second".into())
                 }
                 Ok(Some(command)) => {
                     out.push(Out::Federation(command.clone()));
-                    self.sought.push(Sought { line, command, at: now });
+                    self.pending_table_orders.push(PendingTableOrder { connection, command, at: now });
                     return;
                 }
             },
         };
-        out.push(Out::Answer(line, answer));
+        out.push(Out::Answer(connection, answer));
     }
 
     /// A change of policies was applied, or was void.
@@ -148,14 +169,15 @@
     ) {
         self.roll.applied(now, index, change, record);
         let stands = record.policies.at == index;
-        let (late, wait): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.asked).into_iter().partition(|a| a.base < record.policies.turn);
-        self.asked = wait;
+        let (late, wait): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending_policy_orders)
+            .into_iter()
+            .partition(|a| a.base < record.policies.turn);
+        self.pending_policy_orders = wait;
         for a in late {
             match stands && a.base + 1 == record.policies.turn && a.change == *change {
-                true => out.push(Out::Answer(a.line, ToPerson::Done(index))),
+                true => out.push(Out::Answer(a.connection, ToPerson::Done(index))),
                 // Another change came first: it is looked at anew.
-                false => self.order_policy(a.at, a.line, &a.word, record, out),
+                false => self.order_policy(a.at, a.connection, &a.word, record, out),
             }
         }
         if stands {
--- a/src/keeper/leader/sessions.rs
+++ b/src/keeper/leader/sessions.rs
@@ -2,7 +2,7 @@
 
 use super::announce::switched;
 use super::orders::policy;
-use super::{longer, Joining, LeaderDuties, Line, Out, Session, AGAIN};
+use super::{leader_side_lease, ConnectionId, Joining, LeaderDuties, Out, Session, AGAIN};
 use crate::keeper::ears::OFFERS;
 use crate::keeper::record::{Command, Record};
 use crate::keeper::wire::{FromAgent, FromSender, Grant, Health, Listed, Print, Seen, ToAgent, Want};
@@ -37,26 +37,26 @@
 }
 
 impl LeaderDuties {
-    pub(super) fn meet(
+    pub(super) fn add_session(
         &mut self,
         sender: &str,
         boot: u64,
         own: &str,
-        line: Option<Line>,
+        connection: Option<ConnectionId>,
         until: Time,
         has: u64,
     ) {
-        self.forget(sender);
+        self.remove_session(sender);
         let id = self.next_id;
         self.next_id = self.next_id.wrapping_add(1);
         self.names.insert(id, sender.into());
         self.evidence.meet(id, own);
         let session =
-            Session { id, boot, line, until, report: 0, owed: None, has, told: (0, 0), lapsing: false };
+            Session { id, boot, connection, until, report: 0, owed: None, has, told: (0, 0), lapsing: false };
         self.sessions.insert(sender.into(), session);
     }
 
-    pub(super) fn forget(&mut self, sender: &str) {
+    pub(super) fn remove_session(&mut self, sender: &str) {
         if let Some(s) = self.sessions.remove(sender) {
             self.names.remove(&s.id);
             self.evidence.part(s.id);
@@ -66,40 +66,54 @@
         }
     }
 
-    /// An agent says something over a line.
-    pub fn hear(&mut self, now: Time, line: Line, word: &FromAgent, record: &Record, out: &mut Vec<Out>) {
+    /// An agent says something over a connection.
+    pub fn hear(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        word: &FromAgent,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
         match word {
             FromAgent::Open { sender, boot, zone, has, stored } => {
                 let (boot, own, has, stored) = (*boot, zone, *has, stored.as_deref());
-                self.open(now, line, Opens { sender, boot, own, has, stored }, record, out);
+                self.open(now, connection, Opens { sender, boot, own, has, stored }, record, out);
             }
             FromAgent::Tell { report, has, seen, listed, wants, health } => {
                 let (listed, health) = (listed.as_deref(), health.as_slice());
                 let report = Report { number: *report, has: *has, seen, listed, wants, health };
-                self.report(now, line, &report, record, out);
+                self.report(now, connection, &report, record, out);
             }
-            FromAgent::Stored { number, refused } => match self.speaks(line) {
+            FromAgent::Stored { number, refused } => match self.sender_on(connection) {
                 Some(sender) => self.roll.stored(&sender, *number, refused.as_deref(), record),
-                None => out.push(Out::Say(line, ToAgent::Unknown)),
+                None => out.push(Out::Say(connection, ToAgent::Unknown)),
             },
-            FromAgent::Rules { turn } => match self.speaks(line) {
+            FromAgent::Rules { turn } => match self.sender_on(connection) {
                 Some(sender) => {
                     let change = self.roll.rules(now, &sender, *turn, record);
                     out.extend(change.map(|change| policy(record, change)));
                 }
-                None => out.push(Out::Say(line, ToAgent::Unknown)),
+                None => out.push(Out::Say(connection, ToAgent::Unknown)),
             },
-            FromAgent::Table(word) => self.hear_tables(now, line, word, record, out),
-            FromAgent::Leave => self.leave(now, line, out),
+            FromAgent::Table(word) => self.hear_tables(now, connection, word, record, out),
+            FromAgent::Leave => self.leave(now, connection, out),
         }
     }
 
     /// An agent reports: its session is renewed, whatever the report is; what it saw counts once.
-    fn report(&mut self, now: Time, line: Line, report: &Report<'_>, record: &Record, out: &mut Vec<Out>) {
-        self.lines.get(&line).into_iter().for_each(|name| self.switch.reports(name));
-        let known = self.lines.get(&line).and_then(|name| self.sessions.get_mut(name));
-        let Some(session) = known.filter(|s| !s.lapsing && s.line == Some(line)) else {
-            out.push(Out::Say(line, ToAgent::Unknown));
+    fn report(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        report: &Report<'_>,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
+        self.connections.get(&connection).into_iter().for_each(|name| self.switch.reports(name));
+        let known = self.connections.get(&connection).and_then(|name| self.sessions.get_mut(name));
+        let Some(session) = known.filter(|s| !s.lapsing && s.connection == Some(connection)) else {
+            out.push(Out::Say(connection, ToAgent::Unknown));
             return;
         };
         session.has = report.has;
@@ -107,13 +121,13 @@
         if report.number > session.report {
             session.report = report.number;
             self.count(now, id, report);
-            let member = self.lines.get(&line).and_then(|name| record.roster.get(name));
+            let member = self.connections.get(&connection).and_then(|name| record.roster.get(name));
             if let Some(member) = member {
                 self.roll.hear(now, &member.zone, report.health, record);
             }
         }
-        self.renew(now, line, report.number, record, out);
-        self.hand_out(now, out);
+        self.renew(now, connection, report.number, record, out);
+        self.send_grants(now, out);
     }
 
     /// Counts what a sender saw, has listed and wants.
@@ -134,11 +148,11 @@
     }
 
     /// An agent ends its session.
-    fn leave(&mut self, now: Time, line: Line, out: &mut Vec<Out>) {
-        let name = self.lines.remove(&line);
+    fn leave(&mut self, now: Time, connection: ConnectionId, out: &mut Vec<Out>) {
+        let name = self.connections.remove(&connection);
         let session = name.as_ref().and_then(|name| self.sessions.get_mut(name));
         if let (Some(sender), Some(session)) = (name.clone(), session) {
-            (session.lapsing, session.line) = (true, None);
+            (session.lapsing, session.connection) = (true, None);
             let boot = session.boot;
             // The lapse is proposed again after this time, should it be lost.
             session.until = now + AGAIN;
@@ -154,20 +168,20 @@
         record: &Record,
         out: &mut Vec<Out>,
     ) {
-        let until = now + longer(self.rules.lease_ms);
+        let until = now + leader_side_lease(self.rules.lease_ms);
         let joining = self.joining.get(sender).filter(|j| j.boot == boot).cloned();
         if !record.roster.get(sender).is_some_and(|m| m.live && m.boot == boot) {
             // The roster is full of senders that live.
             self.joining.remove(sender);
-            joining.into_iter().for_each(|j| out.push(Out::Say(j.line, ToAgent::Elsewhere(None))));
+            joining.into_iter().for_each(|j| out.push(Out::Say(j.connection, ToAgent::Elsewhere(None))));
             return;
         }
         let known = self.sessions.get(sender).filter(|s| s.boot == boot && !s.lapsing);
         if known.is_none() {
-            if let Some(old) = self.sessions.get(sender).and_then(|s| s.line) {
-                self.lines.remove(&old);
+            if let Some(old) = self.sessions.get(sender).and_then(|s| s.connection) {
+                self.connections.remove(&old);
             }
-            self.meet(sender, boot, own, None, until, 0);
+            self.add_session(sender, boot, own, None, until, 0);
         } else if let Some(s) = known {
             self.evidence.meet(s.id, own);
         }
@@ -186,10 +200,10 @@
         record: &Record,
         out: &mut Vec<Out>,
     ) {
-        let line = joining.line;
+        let connection = joining.connection;
         let session = self.sessions.get_mut(sender);
-        session.into_iter().for_each(|s| (s.line, s.has) = (Some(line), joining.has));
-        self.lines.insert(line, sender.clone());
+        session.into_iter().for_each(|s| (s.connection, s.has) = (Some(connection), joining.has));
+        self.connections.insert(connection, sender.clone());
         self.roll.meet(sender, joining.boot, joining.stored.as_deref());
         self.switch.meet(sender, joining.boot);
         self.say_policies(now, sender, record, &mut { OFFERS }, out);
@@ -199,7 +213,7 @@
             switched(record, said, out);
             self.say_tables(now, sender, record, &mut { OFFERS }, out);
         }
-        self.renew(now, line, 0, record, out);
+        self.renew(now, connection, 0, record, out);
     }
 
     /// The record has that a session lapsed.
@@ -207,44 +221,54 @@
         if self.sessions.get(sender).is_some_and(|s| s.boot == boot)
             && !record.roster.get(sender).is_some_and(|m| m.live)
         {
-            let line = self.sessions.get(sender).and_then(|s| s.line);
-            line.map(|line| self.lines.remove(&line));
-            self.forget(sender);
+            let connection = self.sessions.get(sender).and_then(|s| s.connection);
+            connection.map(|connection| self.connections.remove(&connection));
+            self.remove_session(sender);
         }
     }
 
-    /// The sender that has a session on a line.
-    pub(super) fn speaks(&self, line: Line) -> Option<String> {
-        let name = self.lines.get(&line)?;
-        self.sessions.get(name).filter(|s| !s.lapsing && s.line == Some(line)).map(|_| name.clone())
+    /// The sender that has a session on a connection.
+    pub(super) fn sender_on(&self, connection: ConnectionId) -> Option<String> {
+        let name = self.connections.get(&connection)?;
+        self.sessions
+            .get(name)
+            .filter(|s| !s.lapsing && s.connection == Some(connection))
+            .map(|_| name.clone())
     }
 
-    /// The line on which a sender that has a session is spoken to.
-    pub(super) fn line_of(&self, sender: &str) -> Option<Line> {
-        self.sessions.get(sender).filter(|s| !s.lapsing)?.line
+    /// The connection on which a sender that has a session is spoken to.
+    pub(super) fn connection_of(&self, sender: &str) -> Option<ConnectionId> {
+        self.sessions.get(sender).filter(|s| !s.lapsing)?.connection
     }
 
-    fn open(&mut self, now: Time, line: Line, opens: Opens<'_>, record: &Record, out: &mut Vec<Out>) {
+    fn open(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        opens: Opens<'_>,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
         let Opens { sender, boot, own, has, stored } = opens;
         let live = record.roster.get(sender).is_some_and(|m| m.live && m.boot == boot && m.zone == *own);
         let session = self.sessions.get_mut(sender).filter(|s| live && s.boot == boot && !s.lapsing);
         if let Some(session) = session {
-            if let Some(old) = session.line.replace(line).filter(|old| *old != line) {
-                self.lines.remove(&old);
+            if let Some(old) = session.connection.replace(connection).filter(|old| *old != connection) {
+                self.connections.remove(&old);
             }
             (session.has, session.told) = (has, (0, 0));
-            self.lines.insert(line, sender.clone());
+            self.connections.insert(connection, sender.clone());
             self.roll.meet(sender, boot, stored);
             self.switch.meet(sender, boot);
             // Its lease never comes before what is in force.
             self.say_policies(now, sender, record, &mut { OFFERS }, out);
-            self.renew(now, line, 0, record, out);
+            self.renew(now, connection, 0, record, out);
             return;
         }
         let full = self.sessions.len() + self.joining.len() >= self.rules.most_senders;
         if full && !self.sessions.contains_key(sender) && !self.joining.contains_key(sender) {
             log::warn!("a sender finds no room sender={sender} most={}", self.rules.most_senders);
-            out.push(Out::Say(line, ToAgent::Elsewhere(None)));
+            out.push(Out::Say(connection, ToAgent::Elsewhere(None)));
             return;
         }
         let waiting = self.joining.get(sender).filter(|j| j.boot == boot && now < j.at + AGAIN);
@@ -256,57 +280,65 @@
             out.push(Out::Propose(Command::Join { sender: sender.clone(), boot, zone: own.clone() }));
         }
         let stored = stored.map(<[_]>::to_vec);
-        let joining = Joining { boot, line, has, at, stored, tables: None };
+        let joining = Joining { boot, connection, has, at, stored, tables: None };
         self.joining.insert(sender.clone(), joining);
     }
 
     /// Renews a session, or owes it until the leader is sure of itself.
-    pub(super) fn renew(&mut self, now: Time, line: Line, report: u64, record: &Record, out: &mut Vec<Out>) {
+    pub(super) fn renew(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        report: u64,
+        record: &Record,
+        out: &mut Vec<Out>,
+    ) {
         let sure = now < self.sure_until && !self.switch.bars(record);
-        let (lease_ms, until) = (self.rules.lease_ms, now + longer(self.rules.lease_ms));
-        let Some(session) = self.lines.get(&line).and_then(|name| self.sessions.get_mut(name)) else {
+        let (lease_ms, until) = (self.rules.lease_ms, now + leader_side_lease(self.rules.lease_ms));
+        let Some(session) = self.connections.get(&connection).and_then(|name| self.sessions.get_mut(name))
+        else {
             return;
         };
         if sure {
             session.until = session.until.max(until);
             session.owed = None;
-            out.push(Out::Say(line, ToAgent::Renewed { report, lease_ms }));
+            out.push(Out::Say(connection, ToAgent::Renewed { report, lease_ms }));
         } else {
             session.owed = Some(report);
         }
         view(now, session, record, out);
     }
 
-    pub(super) fn hand_out(&mut self, now: Time, out: &mut Vec<Out>) {
+    pub(super) fn send_grants(&mut self, now: Time, out: &mut Vec<Out>) {
         let (names, sessions) = (&self.names, &self.sessions);
         self.cold.grant(now, |id, grant: Grant| {
             let session = names.get(&id).and_then(|name| sessions.get(name)).filter(|s| !s.lapsing);
-            if let Some(line) = session.and_then(|s| s.line) {
-                out.push(Out::Say(line, ToAgent::Grant(grant)));
+            if let Some(connection) = session.and_then(|s| s.connection) {
+                out.push(Out::Say(connection, ToAgent::Grant(grant)));
             }
         });
     }
 
-    /// A line is gone; the session goes on until its lease lapses.
-    pub fn hung_up(&mut self, line: Line) {
-        if let Some(name) = self.lines.remove(&line) {
-            let session = self.sessions.get_mut(&name).filter(|s| s.line == Some(line));
-            session.into_iter().for_each(|s| s.line = None);
+    /// A connection is gone; the session goes on until its lease lapses.
+    pub fn hung_up(&mut self, connection: ConnectionId) {
+        if let Some(name) = self.connections.remove(&connection) {
+            let session = self.sessions.get_mut(&name).filter(|s| s.connection == Some(connection));
+            session.into_iter().for_each(|s| s.connection = None);
         }
-        self.joining.retain(|_, j| j.line != line);
-        self.persons.retain(|(l, ..)| *l != line);
-        self.asked.retain(|a| a.line != line);
-        self.sought.retain(|s| s.line != line);
+        self.joining.retain(|_, j| j.connection != connection);
+        self.pending_orders.retain(|(l, ..)| *l != connection);
+        self.pending_policy_orders.retain(|a| a.connection != connection);
+        self.pending_table_orders.retain(|s| s.connection != connection);
     }
 
     /// Answers what was owed until the leader is sure of itself.
-    pub(super) fn pay(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
+    pub(super) fn renew_owed(&mut self, now: Time, record: &Record, out: &mut Vec<Out>) {
         if now >= self.sure_until {
             return;
         }
         let owed = self.sessions.values().filter(|s| !s.lapsing);
-        let owed: Vec<_> = owed.filter_map(|s| Some((s.line?, s.owed?))).collect();
-        owed.iter().for_each(|(line, report)| self.renew(now, *line, *report, record, out));
+        let owed: Vec<_> = owed.filter_map(|s| Some((s.connection?, s.owed?))).collect();
+        owed.iter().for_each(|(connection, report)| self.renew(now, *connection, *report, record, out));
     }
 }
 
@@ -314,8 +346,10 @@
 pub(super) fn view(now: Time, session: &mut Session, record: &Record, out: &mut Vec<Out>) {
     let (told, at) = session.told;
     let again = told < record.changed || told == 0 || now >= at + AGAIN / 2;
-    if let Some(line) = session.line.filter(|_| !session.lapsing && again && record.is_news_to(session.has)) {
+    if let Some(connection) =
+        session.connection.filter(|_| !session.lapsing && again && record.is_news_to(session.has))
+    {
         session.told = (record.version, now);
-        out.push(Out::Say(line, ToAgent::View(record.view())));
+        out.push(Out::Say(connection, ToAgent::View(record.view())));
     }
 }
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -7,7 +7,6 @@
 
 pub mod begin;
 pub mod config;
-pub mod driver;
 pub mod ears;
 pub mod frames;
 pub mod group;
@@ -15,6 +14,7 @@
 pub mod log;
 pub mod policy;
 pub mod record;
+pub mod replica;
 pub mod table;
 pub mod wire;
 pub mod zones;
--- a/src/keeper/driver.rs
+++ b/src/keeper/replica.rs
@@ -8,7 +8,7 @@
 use crate::keeper::begin::Begin;
 use crate::keeper::config::Config;
 use crate::keeper::group::Group;
-use crate::keeper::leader::{LeaderDuties, Line};
+use crate::keeper::leader::{ConnectionId, LeaderDuties};
 use crate::keeper::log::{Keep, Piece, Unsaved};
 use crate::keeper::table::voice::Voice;
 use crate::keeper::wire::{FromAgent, FromPerson};
@@ -16,7 +16,7 @@
 use crate::Time;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
-use peers::{Outgoing, Peer};
+use peers::{OutgoingLink, PeerMessage};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,7 +24,7 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use trouble::Wrong;
+use trouble::Conflict;
 
 mod accept;
 mod event_loop;
@@ -42,46 +42,46 @@
 /// Messages that wait for another keeper; more are lost, as on any net.
 const PEER_QUEUE: usize = 256;
 /// Between two attempts to write what found no room, and to accept where there is no descriptor.
-const LATER: Duration = Duration::from_millis(100);
-/// What is wrong between two keepers counts as over when it was not seen for so long; lines are tried more often than that.
-const LASTS: Duration = Duration::from_secs(10);
+const RESOURCE_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// What is wrong between two keepers counts as over when it was not seen for so long; connections are tried more often than that.
+const CONFLICT_LASTS: Duration = Duration::from_secs(10);
 
 /// What comes in.
-enum In {
+enum Incoming {
     /// A keeper connected.
-    Came { keeper: u64, incarnation: u64, answer: Sender<Peer>, alive: Sender<()> },
+    Came { keeper: u64, incarnation: u64, answer: Sender<PeerMessage>, alive: Sender<()> },
     /// A keeper answered.
-    Answered { keeper: u64, word: Peer },
+    Answered { keeper: u64, word: PeerMessage },
     /// A keeper was asked for its folder, in order to add it.
-    Asked { line: Line, keeper: u64, at: String, folder: Result<u64, String> },
+    Asked { connection: ConnectionId, keeper: u64, at: String, folder: Result<u64, String> },
     /// A message of the group.
     Raft { keeper: u64, bytes: Vec<u8> },
-    /// A line of an agent or a person.
-    Opened { line: Line, queue: Sender<Vec<u8>> },
+    /// A connection of an agent or a person.
+    Opened { connection: ConnectionId, queue: Sender<Vec<u8>> },
     /// An agent says something.
-    Agent(Line, FromAgent),
+    Agent(ConnectionId, FromAgent),
     /// A person orders something.
-    Person(Line, FromPerson),
-    /// A line is gone.
-    Gone(Line),
+    Person(ConnectionId, FromPerson),
+    /// A connection is gone.
+    Gone(ConnectionId),
     /// Something of another site.
     Site(sites::Site),
 }
 
 /// What a task needs to bring something in.
 #[derive(Clone)]
-struct Door {
-    inbox: Sender<In>,
+struct Context {
+    inbox: Sender<Incoming>,
     wheel: Rc<Wheel>,
     site: Rc<str>,
     keeper: u64,
     incarnation: u64,
     /// The federation, and the site's number there.
     federation: Option<(Rc<str>, u64)>,
-    /// Lines that are open, and how many may be.
+    /// Connections that are open, and how many may be.
     open: Rc<Cell<u64>>,
     most: u64,
-    next: Rc<Cell<Line>>,
+    next: Rc<Cell<ConnectionId>>,
 }
 
 enum Stage {
@@ -89,9 +89,9 @@
     Takes(Box<Group>),
 }
 
-struct Driver {
+struct Replica {
     config: Config,
-    door: Door,
+    context: Context,
     executor: Rc<LocalExecutor<'static>>,
     stage: Stage,
     duties: Option<LeaderDuties>,
@@ -105,17 +105,17 @@
     again: Option<(Piece, Instant)>,
     start: Instant,
     ticked: Instant,
-    lines: BTreeMap<Line, Sender<Vec<u8>>>,
+    connections: BTreeMap<ConnectionId, Sender<Vec<u8>>>,
     /// Persons that wait for an answer.
-    asked: BTreeSet<Line>,
+    asked: BTreeSet<ConnectionId>,
     /// Who ordered that this keeper comes or goes, and the entry that adds it: that is done when it has it.
-    changing: Option<(Line, u64, Option<u64>)>,
-    outgoing: BTreeMap<u64, Outgoing>,
+    changing: Option<(ConnectionId, u64, Option<u64>)>,
+    outgoing: BTreeMap<u64, OutgoingLink>,
     incoming: BTreeMap<u64, Sender<()>>,
     /// Addresses that keepers may speak from.
     allowed: Rc<RefCell<BTreeSet<IpAddr>>>,
     /// When it was last seen, and why.
-    wrong: BTreeMap<(u64, Wrong), (Instant, String)>,
+    wrong: BTreeMap<(u64, Conflict), (Instant, String)>,
     removed: bool,
     /// The site's part in its federation, as long as this keeper leads it.
     voice: Option<Voice>,
@@ -127,7 +127,7 @@
     RandomState::new().build_hasher().finish()
 }
 
-impl Driver {
+impl Replica {
     fn now(&self) -> Time {
         self.start.elapsed().as_nanos() as Time
     }
--- a/src/keeper/driver/event_loop.rs
+++ b/src/keeper/replica/event_loop.rs
@@ -1,7 +1,7 @@
 //! The loop of the one task that owns all decisions: takes what came in, advances time, and works until nothing is left to be done.
 
 use super::peers::send;
-use super::{Driver, In, Stage, LATER};
+use super::{Incoming, Replica, Stage, RESOURCE_RETRY_DELAY};
 use crate::keeper::group::{Event, ELECTION};
 use crate::keeper::leader::{LeaderDuties, Out};
 use crate::keeper::log::{Keep, Piece, Unsaved};
@@ -22,32 +22,32 @@
 /// What follows from one step of the group.
 #[derive(Default)]
 struct Effects {
-    /// What the leader wants.
+    /// What the leader duties want.
     out: Vec<Out>,
     /// What the voice wants.
     said: Vec<voice::Out>,
     /// Keepers came or went.
     members: bool,
-    /// The leader begins.
+    /// The leader duties begin.
     begins: bool,
-    /// It ends.
+    /// They end.
     ends: bool,
 }
 
-impl Driver {
+impl Replica {
     /// Serves until something is fatal, it was removed, or the time is up.
-    pub(super) async fn go_on(
+    pub(super) async fn run(
         &mut self,
-        coming: &Receiver<In>,
+        coming: &Receiver<Incoming>,
         until: Option<Instant>,
     ) -> Result<(), String> {
         enum Next {
             Wrote(Wrote),
-            Came(In),
+            Came(Incoming),
             Tick,
         }
         let tick = Duration::from_millis(self.config.tick_ms);
-        let wheel = self.door.wheel.clone();
+        let wheel = self.context.wheel.clone();
         while !self.removed && until.is_none_or(|at| Instant::now() < at) {
             let (keep, at) = (&mut self.keep, self.ticked + tick);
             let wrote = async {
@@ -61,19 +61,19 @@
             };
             let next = wrote.or(came).or(due).await?;
             // Time goes before words: one that stood still must not act on what it believed before.
-            self.catch_up(tick);
+            self.advance_clock(tick);
             match next {
-                Next::Wrote(wrote) => self.wrote(wrote)?,
-                Next::Came(word) => self.came(word).await?,
+                Next::Wrote(wrote) => self.handle_saved(wrote)?,
+                Next::Came(word) => self.handle(word).await?,
                 Next::Tick => {}
             }
-            self.turn()?;
+            self.work()?;
         }
         Ok(())
     }
 
     /// Ticks that are due. After twice the time of an election, a leader that heard nobody leads no more.
-    fn catch_up(&mut self, tick: Duration) {
+    fn advance_clock(&mut self, tick: Duration) {
         let due = (self.ticked.elapsed().as_nanos() / tick.as_nanos()) as u32;
         if due == 0 {
             return;
@@ -93,7 +93,7 @@
     }
 
     /// What came of writing.
-    fn wrote(&mut self, (piece, result): Wrote) -> Result<(), String> {
+    fn handle_saved(&mut self, (piece, result): Wrote) -> Result<(), String> {
         let wants_base = self.keep.here().is_some_and(Keep::wants_base);
         let who = self.who();
         let Stage::Takes(group) = &mut self.stage else { return Ok(()) };
@@ -117,7 +117,7 @@
                 if since.elapsed() > Duration::from_millis(self.config.tick_ms) * ELECTION as u32 {
                     let _ = group.hand_on();
                 }
-                self.again = Some((piece, Instant::now() + LATER));
+                self.again = Some((piece, Instant::now() + RESOURCE_RETRY_DELAY));
                 Ok(())
             }
             Err(e) => Err(format!("state: {e}")),
@@ -125,13 +125,13 @@
     }
 
     /// Goes on until nothing more is to be done.
-    pub(super) fn turn(&mut self) -> Result<(), String> {
-        while self.step()? {}
+    pub(super) fn work(&mut self) -> Result<(), String> {
+        while self.work_once()? {}
         Ok(())
     }
 
     /// Does what the group has ready, and what follows from it; whether there may be more.
-    fn step(&mut self) -> Result<bool, String> {
+    fn work_once(&mut self) -> Result<bool, String> {
         let now = self.now();
         let Stage::Takes(group) = &mut self.stage else { return Ok(false) };
         let mut events = Vec::new();
@@ -143,7 +143,7 @@
             self.event(now, event, &mut effects);
         }
         self.finish_change(&mut effects);
-        self.begin_or_end_office(now, &mut effects);
+        self.begin_or_end_duties(now, &mut effects);
         let piece = self.next_piece();
         let quiet = effects.out.is_empty() && effects.said.is_empty() && piece.is_none();
         self.carry_out(effects.out);
@@ -160,9 +160,9 @@
             self.carry_voice(effects.said);
             self.connect_sites();
         }
-        self.tell_office(false);
+        self.tell_leader(false);
         if effects.members {
-            self.connect();
+            self.connect_replicas();
         }
         Ok(!(idle && quiet))
     }
@@ -223,13 +223,13 @@
         let has = |(_, keeper, index): &mut (_, u64, Option<u64>)| {
             index.is_some_and(|index| group.has(*keeper, index))
         };
-        if let Some((line, _, Some(index))) = self.changing.take_if(has) {
-            effects.out.push(Out::Answer(line, ToPerson::Done(index)));
+        if let Some((connection, _, Some(index))) = self.changing.take_if(has) {
+            effects.out.push(Out::Answer(connection, ToPerson::Done(index)));
         }
     }
 
-    /// Begins the leader where this keeper leads by now, and ends it where it leads no more.
-    fn begin_or_end_office(&mut self, now: Time, effects: &mut Effects) {
+    /// Begins the leader duties where this keeper leads by now, and ends them where it leads no more.
+    fn begin_or_end_duties(&mut self, now: Time, effects: &mut Effects) {
         let Stage::Takes(group) = &self.stage else { return };
         let term = group.term();
         if group.is_ready_to_lead() && self.duties.is_none() {
@@ -244,7 +244,9 @@
             self.changing = None;
             let elsewhere = ToPerson::Elsewhere(Some(group.leader()).filter(|id| *id != 0));
             let asked = std::mem::take(&mut self.asked);
-            effects.out.extend(asked.into_iter().map(|line| Out::Answer(line, elsewhere.clone())));
+            effects
+                .out
+                .extend(asked.into_iter().map(|connection| Out::Answer(connection, elsewhere.clone())));
         }
     }
 
@@ -263,19 +265,19 @@
     }
 
     /// A leader asks another one to lead before it ends.
-    pub(super) async fn farewell(&mut self, coming: &Receiver<In>) -> Result<(), String> {
+    pub(super) async fn hand_over(&mut self, coming: &Receiver<Incoming>) -> Result<(), String> {
         // The federation has another leader before the site has.
         if self.voice.as_mut().is_some_and(Voice::hand_on) {
             self.tick_voice();
-            self.go_on(coming, Some(Instant::now() + FAREWELL)).await?;
+            self.run(coming, Some(Instant::now() + FAREWELL)).await?;
         }
         let handed = match &mut self.stage {
             Stage::Takes(group) if group.leader() == group.me() => group.hand_on().is_ok(),
             _ => false,
         };
         if handed {
-            self.turn()?;
-            self.go_on(coming, Some(Instant::now() + FAREWELL)).await?;
+            self.work()?;
+            self.run(coming, Some(Instant::now() + FAREWELL)).await?;
         }
         Ok(())
     }
--- a/src/keeper/driver/formation.rs
+++ b/src/keeper/replica/formation.rs
@@ -1,25 +1,25 @@
 //! What a replica does before it takes part in the group: it meets the others and writes down whom it knows.
 
-use super::{draw, Driver, Stage, LATER};
+use super::{draw, Replica, Stage, RESOURCE_RETRY_DELAY};
 use crate::keeper::group::Group;
 use crate::keeper::log::{Piece, Unsaved};
 
-impl Driver {
+impl Replica {
     /// Writes down what an empty folder begins with.
-    pub(super) async fn first(&mut self) -> Result<(), String> {
-        let Stage::Begins(begin) = &self.stage else { return self.turn() };
+    pub(super) async fn begin(&mut self) -> Result<(), String> {
+        let Stage::Begins(begin) = &self.stage else { return self.work() };
         let piece = Piece::Base(Box::new(begin.base().clone()));
-        self.write_now(piece).await?;
+        self.save_now(piece).await?;
         // One that is alone waits for nobody.
-        self.begins().await?;
+        self.form_group().await?;
         if let Stage::Begins(begin) = &self.stage {
             log::info!("{}: begins when it and keepers {:?} know each other", self.who(), begin.missing());
         }
-        self.turn()
+        self.work()
     }
 
     /// Writes something down while nothing else goes on: before this keeper takes part.
-    async fn write_now(&mut self, mut piece: Piece) -> Result<(), String> {
+    async fn save_now(&mut self, mut piece: Piece) -> Result<(), String> {
         loop {
             self.keep.lend(piece).map_err(|_| "the log is lent")?;
             let (back, result) = self.keep.back().await.map_err(|e| format!("state: {e}"))?;
@@ -29,18 +29,18 @@
                 Err(e) => return Err(format!("state: {e}")),
             }
             piece = back;
-            self.door.wheel.sleep(LATER).await;
+            self.context.wheel.sleep(RESOURCE_RETRY_DELAY).await;
         }
     }
 
     /// Writes down whom it knows.
-    pub(super) async fn write_down(&mut self) -> Result<(), String> {
+    pub(super) async fn save_known_replicas(&mut self) -> Result<(), String> {
         let Stage::Begins(begin) = &self.stage else { return Ok(()) };
-        self.write_now(Piece::Base(Box::new(begin.base().clone()))).await
+        self.save_now(Piece::Base(Box::new(begin.base().clone()))).await
     }
 
     /// Takes part, when all know each other.
-    pub(super) async fn begins(&mut self) -> Result<(), String> {
+    pub(super) async fn form_group(&mut self) -> Result<(), String> {
         let Stage::Begins(begin) = &self.stage else { return Ok(()) };
         let peers = self.config.peers.iter().map(|(id, at)| (*id, at.to_string()));
         let at = peers.chain([(self.config.keeper, self.config.listen.to_string())]).collect();
--- a/src/keeper/driver/peers.rs
+++ b/src/keeper/replica/peers.rs
@@ -1,7 +1,9 @@
 //! Connections to the other replicas of the site, one in each direction.
 
-use super::transport::{again, hear_words, send_words, within, Reach, INTRODUCTION, STUCK};
-use super::{Door, Driver, In, Stage, PEER_QUEUE};
+use super::transport::{
+    receive_messages, retry_delay, send_messages, with_timeout, LinkState, HANDSHAKE_TIMEOUT, WRITE_TIMEOUT,
+};
+use super::{Context, Incoming, Replica, Stage, PEER_QUEUE};
 use crate::keeper::frames::{self, Broken};
 use crate::keeper::group::Group;
 use crate::keeper::log::BASE_MOST;
@@ -22,7 +24,7 @@
 
 /// What keepers say to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(super) enum Peer {
+pub(super) enum PeerMessage {
     /// The folder of the one that connected.
     Me { incarnation: u64 },
     /// It is known, and written down. And the folder of the one that answers.
@@ -36,94 +38,109 @@
 }
 
 /// Another keeper that this one sends to.
-pub(super) struct Outgoing {
+pub(super) struct OutgoingLink {
     pub(super) queue: Sender<Vec<u8>>,
     pub(super) at: SocketAddr,
-    pub(super) reach: Rc<Reach>,
-    /// Ends the line when it is dropped.
+    pub(super) reach: Rc<LinkState>,
+    /// Ends the connection when it is dropped.
     pub(super) _task: Task<()>,
 }
 
 /// Tells a keeper that came to the wrong one what it came to: it would try again without a word.
-pub(super) async fn shut_out(
-    door: &Door,
+pub(super) async fn refuse(
+    context: &Context,
     mut stream: Async<TcpStream>,
     why: Broken,
     what: String,
 ) -> Result<(), Broken> {
-    let word = Peer::Refused(format!("it came to a keeper {what}, form {VERSION}"));
-    within(&door.wheel, STUCK, frames::write(&mut stream, &word, PEER_MOST)).await?;
+    let word = PeerMessage::Refused(format!("it came to a keeper {what}, form {VERSION}"));
+    with_timeout(&context.wheel, WRITE_TIMEOUT, frames::write(&mut stream, &word, PEER_MOST)).await?;
     Err(why)
 }
 
-/// Another keeper's line: it sends, and this one says that it lives.
-pub(super) async fn hear_keeper(door: Door, mut stream: Async<TcpStream>, keeper: u64) -> Result<(), Broken> {
-    let me = within(&door.wheel, INTRODUCTION, frames::read(&mut stream, PEER_MOST)).await?;
-    let Peer::Me { incarnation } = me else { return Ok(()) };
+/// Another keeper's connection: it sends, and this one says that it lives.
+pub(super) async fn serve_peer(
+    context: Context,
+    mut stream: Async<TcpStream>,
+    keeper: u64,
+) -> Result<(), Broken> {
+    let me = with_timeout(&context.wheel, HANDSHAKE_TIMEOUT, frames::read(&mut stream, PEER_MOST)).await?;
+    let PeerMessage::Me { incarnation } = me else { return Ok(()) };
     let (answer, answered) = async_channel::bounded(1);
     let (alive, ended) = async_channel::bounded::<()>(1);
-    let came = In::Came { keeper, incarnation, answer, alive };
-    let _ = door.inbox.send(came).await;
+    let came = Incoming::Came { keeper, incarnation, answer, alive };
+    let _ = context.inbox.send(came).await;
     let Ok(word) = answered.recv().await else { return Ok(()) };
-    within(&door.wheel, STUCK, frames::write(&mut stream, &word, PEER_MOST)).await?;
-    if !matches!(word, Peer::Known { .. }) {
+    with_timeout(&context.wheel, WRITE_TIMEOUT, frames::write(&mut stream, &word, PEER_MOST)).await?;
+    if !matches!(word, PeerMessage::Known { .. }) {
         return Ok(());
     }
     let raft = |word| match word {
-        Peer::Raft(bytes) => Ok(In::Raft { keeper, bytes: bytes.into_vec() }),
+        PeerMessage::Raft(bytes) => Ok(Incoming::Raft { keeper, bytes: bytes.into_vec() }),
         other => Err(Broken::Io(std::io::Error::other(format!("{other:?} from a keeper")))),
     };
-    hear_words(&door, stream, (&Peer::Pulse, PEER_MOST), &ended, raft).await
+    receive_messages(&context, stream, (&PeerMessage::Pulse, PEER_MOST), &ended, raft).await
 }
 
 /// Introduces itself to another keeper.
-pub(super) async fn introduce(door: &Door, at: SocketAddr) -> Result<(Async<TcpStream>, Peer), Broken> {
+pub(super) async fn handshake(
+    context: &Context,
+    at: SocketAddr,
+) -> Result<(Async<TcpStream>, PeerMessage), Broken> {
     let meeting = async {
         let mut stream = Async::<TcpStream>::connect(at).await?;
         stream.get_ref().set_nodelay(true)?;
-        let hello = Hello { version: VERSION, site: door.site.to_string(), who: Who::Keeper(door.keeper) };
+        let hello =
+            Hello { version: VERSION, site: context.site.to_string(), who: Who::Keeper(context.keeper) };
         frames::write(&mut stream, &hello, MOST).await?;
-        frames::write(&mut stream, &Peer::Me { incarnation: door.incarnation }, PEER_MOST).await?;
+        frames::write(&mut stream, &PeerMessage::Me { incarnation: context.incarnation }, PEER_MOST).await?;
         let word = frames::read(&mut stream, PEER_MOST).await?;
         Ok((stream, word))
     };
-    within(&door.wheel, INTRODUCTION, meeting).await
+    with_timeout(&context.wheel, HANDSHAKE_TIMEOUT, meeting).await
 }
 
 /// Sends to another keeper for as long as that is one.
-async fn send_to(door: Door, keeper: u64, at: SocketAddr, going: Receiver<Vec<u8>>, reach: Rc<Reach>) {
-    let who = format!("keeper {} of {}: keeper {keeper} at {at}", door.keeper, door.site);
+async fn send_to_peer(
+    context: Context,
+    keeper: u64,
+    at: SocketAddr,
+    going: Receiver<Vec<u8>>,
+    reach: Rc<LinkState>,
+) {
+    let who = format!("keeper {} of {}: keeper {keeper} at {at}", context.keeper, context.site);
     loop {
         let ended = async {
-            let (stream, word) = introduce(&door, at).await?;
-            let known = matches!(word, Peer::Known { .. });
-            // What waited for the last line is late by now.
+            let (stream, word) = handshake(&context, at).await?;
+            let known = matches!(word, PeerMessage::Known { .. });
+            // What waited for the last connection is late by now.
             while going.try_recv().is_ok() {}
             reach.up.set(known);
-            let _ = door.inbox.send(In::Answered { keeper, word }).await;
+            let _ = context.inbox.send(Incoming::Answered { keeper, word }).await;
             if !known {
                 return Ok(());
             }
             // One that is not the keeper that it should be is left; another one may answer there by now.
-            send_words::<Peer>(&door, stream, PEER_MOST, &going, &reach.up, || ()).await
+            send_messages::<PeerMessage>(&context, stream, PEER_MOST, &going, &reach.up, || ()).await
         };
         let ended: Result<(), Broken> = ended.await;
         let was_up = reach.up.replace(false);
         reach.ended(&who, ended, was_up);
-        door.wheel.sleep(again()).await;
+        context.wheel.sleep(retry_delay()).await;
     }
 }
 
-/// Sends messages of the group, each as far as there is a line for it.
-pub(super) fn send(group: &mut Group, outgoing: &BTreeMap<u64, Outgoing>, messages: Vec<Message>) {
+/// Sends messages of the group, each as far as there is a connection for it.
+pub(super) fn send(group: &mut Group, outgoing: &BTreeMap<u64, OutgoingLink>, messages: Vec<Message>) {
     for message in messages {
         let (to, snapshot) = (message.to, message.get_msg_type() == MessageType::MsgSnapshot);
-        let line = outgoing.get(&to).filter(|o| o.reach.up.get());
+        let connection = outgoing.get(&to).filter(|o| o.reach.up.get());
         let bytes = message.write_to_bytes().map_err(|e| e.to_string());
-        let framed = bytes
-            .and_then(|b| frames::bytes(&Peer::Raft(ByteBuf::from(b)), PEER_MOST).map_err(|e| e.to_string()));
-        let sent = match (framed, line) {
-            (Ok(bytes), Some(line)) => line.queue.try_send(bytes).is_ok(),
+        let framed = bytes.and_then(|b| {
+            frames::bytes(&PeerMessage::Raft(ByteBuf::from(b)), PEER_MOST).map_err(|e| e.to_string())
+        });
+        let sent = match (framed, connection) {
+            (Ok(bytes), Some(connection)) => connection.queue.try_send(bytes).is_ok(),
             (Ok(_), None) => false,
             (Err(e), _) => {
                 log::error!("keeper {}: a message to keeper {to}: {e}", group.me());
@@ -138,9 +155,9 @@
     }
 }
 
-impl Driver {
+impl Replica {
     /// Where a keeper is reached: the file goes before what the group knows.
-    pub(super) fn reached(&self, keeper: u64) -> Option<SocketAddr> {
+    pub(super) fn address_of(&self, keeper: u64) -> Option<SocketAddr> {
         let known = match &self.stage {
             Stage::Takes(group) => group.held().members.get(&keeper).and_then(|m| m.at.parse().ok()),
             Stage::Begins(_) => None,
@@ -148,8 +165,8 @@
         self.config.peers.get(&keeper).copied().or(known)
     }
 
-    /// Has a line to each other keeper, and to nobody else.
-    pub(super) fn connect(&mut self) {
+    /// Has a connection to each other keeper, and to nobody else.
+    pub(super) fn connect_replicas(&mut self) {
         let mut wanted: BTreeSet<u64> = self.config.peers.keys().copied().collect();
         if let Stage::Takes(group) = &self.stage {
             let held = group.held();
@@ -159,7 +176,7 @@
         }
         wanted.remove(&self.config.keeper);
         let at: BTreeMap<u64, SocketAddr> =
-            wanted.iter().filter_map(|id| Some((*id, self.reached(*id)?))).collect();
+            wanted.iter().filter_map(|id| Some((*id, self.address_of(*id)?))).collect();
         // One that joins is spoken to from addresses that its file names.
         let named = self.config.peers.values();
         *self.allowed.borrow_mut() = at.values().chain(named).map(|at| at.ip().to_canonical()).collect();
@@ -168,10 +185,10 @@
         for (keeper, at) in at {
             if !self.outgoing.contains_key(&keeper) {
                 let (queue, going) = async_channel::bounded(PEER_QUEUE);
-                let reach: Rc<Reach> = Rc::default();
-                let task = send_to(self.door.clone(), keeper, at, going, reach.clone());
+                let reach: Rc<LinkState> = Rc::default();
+                let task = send_to_peer(self.context.clone(), keeper, at, going, reach.clone());
                 let task = self.executor.spawn(task);
-                self.outgoing.insert(keeper, Outgoing { queue, at, reach, _task: task });
+                self.outgoing.insert(keeper, OutgoingLink { queue, at, reach, _task: task });
             }
         }
     }
--- a/src/keeper/driver/receive.rs
+++ b/src/keeper/replica/receive.rs
@@ -1,39 +1,41 @@
 //! What is done with each event that the other tasks bring in.
 
-use super::peers::Peer;
-use super::trouble::Wrong;
-use super::{Driver, In, Stage};
+use super::peers::PeerMessage;
+use super::trouble::Conflict;
+use super::{Incoming, Replica, Stage};
 use crate::keeper::begin::{admit, Heard};
 use async_channel::Sender;
 
-impl Driver {
+impl Replica {
     /// Something came in.
-    pub(super) async fn came(&mut self, word: In) -> Result<(), String> {
+    pub(super) async fn handle(&mut self, word: Incoming) -> Result<(), String> {
         match word {
-            In::Came { keeper, incarnation, answer, alive } => {
+            Incoming::Came { keeper, incarnation, answer, alive } => {
                 return self.keeper_came(keeper, incarnation, answer, alive).await;
             }
-            In::Answered { keeper, word: Peer::Known { incarnation } } => {
+            Incoming::Answered { keeper, word: PeerMessage::Known { incarnation } } => {
                 return self.keeper_answered(keeper, incarnation).await;
             }
-            In::Answered { keeper, word } => {
-                if let Peer::Refused(why) = word {
-                    self.is_wrong(keeper, Wrong::Shut, &why);
+            Incoming::Answered { keeper, word } => {
+                if let PeerMessage::Refused(why) = word {
+                    self.note_conflict(keeper, Conflict::Shut, &why);
                 }
             }
-            In::Asked { line, keeper, at, folder } => self.add(line, keeper, at, folder),
-            In::Raft { keeper, bytes } => self.raft_came(keeper, &bytes),
-            In::Opened { line, queue } => {
-                self.lines.insert(line, queue);
+            Incoming::Asked { connection, keeper, at, folder } => {
+                self.add_replica(connection, keeper, at, folder)
             }
-            In::Agent(line, word) => self.agent(line, &word),
-            In::Person(line, word) => self.person(line, word),
-            In::Site(word) => self.came_site(word),
-            In::Gone(line) => {
-                self.voice.iter_mut().for_each(|voice| voice.hung_up(line));
-                self.lines.remove(&line);
-                self.asked.remove(&line);
-                self.duties.iter_mut().for_each(|duties| duties.hung_up(line));
+            Incoming::Raft { keeper, bytes } => self.raft_came(keeper, &bytes),
+            Incoming::Opened { connection, queue } => {
+                self.connections.insert(connection, queue);
+            }
+            Incoming::Agent(connection, word) => self.handle_agent(connection, &word),
+            Incoming::Person(connection, word) => self.handle_operator(connection, word),
+            Incoming::Site(word) => self.came_site(word),
+            Incoming::Gone(connection) => {
+                self.voice.iter_mut().for_each(|voice| voice.hung_up(connection));
+                self.connections.remove(&connection);
+                self.asked.remove(&connection);
+                self.duties.iter_mut().for_each(|duties| duties.hung_up(connection));
             }
         }
         Ok(())
@@ -52,38 +54,38 @@
         &mut self,
         keeper: u64,
         incarnation: u64,
-        answer: Sender<Peer>,
+        answer: Sender<PeerMessage>,
         alive: Sender<()>,
     ) -> Result<(), String> {
         let heard = self.heard(keeper, incarnation);
         if heard == Heard::New {
-            self.write_down().await?;
+            self.save_known_replicas().await?;
         }
         let word = match heard {
             Heard::No(why) => {
-                self.is_wrong(keeper, Wrong::Came, &why);
-                Peer::Refused(why)
+                self.note_conflict(keeper, Conflict::Came, &why);
+                PeerMessage::Refused(why)
             }
             _ => {
-                self.wrong.remove(&(keeper, Wrong::Came));
+                self.wrong.remove(&(keeper, Conflict::Came));
                 self.incoming.insert(keeper, alive);
-                Peer::Known { incarnation: self.door.incarnation }
+                PeerMessage::Known { incarnation: self.context.incarnation }
             }
         };
         let _ = answer.try_send(word);
-        self.begins().await
+        self.form_group().await
     }
 
     /// A keeper that knows this one answered.
     async fn keeper_answered(&mut self, keeper: u64, incarnation: u64) -> Result<(), String> {
         let heard = self.heard(keeper, incarnation);
         if let Heard::No(why) = &heard {
-            self.is_wrong(keeper, Wrong::Answers, why);
+            self.note_conflict(keeper, Conflict::Answers, why);
             // Nothing is said to it.
             self.outgoing.get(&keeper).into_iter().for_each(|o| o.reach.up.set(false));
             return Ok(());
         }
-        let was = [Wrong::Answers, Wrong::Shut].map(|how| self.wrong.remove(&(keeper, how)).is_some());
+        let was = [Conflict::Answers, Conflict::Shut].map(|how| self.wrong.remove(&(keeper, how)).is_some());
         if let Some(o) = self.outgoing.get(&keeper) {
             if o.reach.told.take().is_some() || was.contains(&true) {
                 log::info!("{}: keeper {keeper} at {}: is reached", self.who(), o.at);
@@ -93,12 +95,12 @@
             begin.knows(keeper);
         }
         if heard == Heard::New {
-            self.write_down().await?;
+            self.save_known_replicas().await?;
         }
-        self.begins().await
+        self.form_group().await
     }
 
-    /// A message of the group came; the line of one that sends what makes no sense is ended.
+    /// A message of the group came; the connection of one that sends what makes no sense is ended.
     fn raft_came(&mut self, keeper: u64, bytes: &[u8]) {
         let Stage::Takes(group) = &mut self.stage else { return };
         if let Err(e) = group.step(keeper, bytes) {
--- a/src/keeper/driver/requests.rs
+++ b/src/keeper/replica/requests.rs
@@ -1,15 +1,15 @@
 //! Requests of agents and operators, and what the leader answers them.
 
-use super::peers::{introduce, Peer};
-use super::{Driver, In, Stage};
+use super::peers::{handshake, PeerMessage};
+use super::{Incoming, Replica, Stage};
 use crate::keeper::frames;
 use crate::keeper::group::Member;
-use crate::keeper::leader::{Line, Out};
+use crate::keeper::leader::{ConnectionId, Out};
 use crate::keeper::wire::{FromAgent, FromPerson, Status, TableOrder, ToAgent, ToPerson, MOST};
 use serde::Serialize;
 use std::net::SocketAddr;
 
-impl Driver {
+impl Replica {
     /// Does what the leader wants.
     pub(super) fn carry_out(&mut self, out: Vec<Out>) {
         for what in out {
@@ -21,8 +21,8 @@
                         }
                     }
                 }
-                Out::Say(line, word) => self.say(line, &word),
-                Out::Answer(line, word) => self.answer(line, word),
+                Out::Say(connection, word) => self.send(connection, &word),
+                Out::Answer(connection, word) => self.answer(connection, word),
                 Out::Federation(command) => {
                     let (now, mut said) = (self.now(), Vec::new());
                     self.voice.iter_mut().for_each(|voice| voice.command(now, command.clone(), &mut said));
@@ -32,27 +32,27 @@
         }
     }
 
-    pub(super) fn say<T: Serialize>(&mut self, line: Line, word: &T) {
-        let Some(queue) = self.lines.get(&line) else { return };
+    pub(super) fn send<T: Serialize>(&mut self, connection: ConnectionId, word: &T) {
+        let Some(queue) = self.connections.get(&connection) else { return };
         let sent = frames::bytes(word, MOST).map_err(|e| e.to_string());
         let sent = sent.and_then(|bytes| queue.try_send(bytes).map_err(|e| e.to_string()));
         if let Err(e) = sent {
             // Its task sees that nobody writes to it any more.
-            log::debug!("{}: line {line} is dropped: {e}", self.who());
-            self.lines.remove(&line);
+            log::debug!("{}: line {connection} is dropped: {e}", self.who());
+            self.connections.remove(&connection);
         }
     }
 
-    pub(super) fn answer(&mut self, line: Line, mut word: ToPerson) {
-        self.asked.remove(&line);
+    pub(super) fn answer(&mut self, connection: ConnectionId, mut word: ToPerson) {
+        self.asked.remove(&connection);
         if let ToPerson::Status(status) = &mut word {
-            self.fill(status);
+            self.fill_status(status);
         }
-        self.say(line, &word);
+        self.send(connection, &word);
     }
 
-    /// What the driver knows of how things stand.
-    fn fill(&self, status: &mut Status) {
+    /// What the replica knows of how things stand.
+    fn fill_status(&self, status: &mut Status) {
         (status.site, status.keeper) = (self.config.site.clone(), self.config.keeper);
         if let Stage::Takes(group) = &self.stage {
             // One that was elected leads when it knows all that was agreed before.
@@ -75,62 +75,63 @@
         }
     }
 
-    pub(super) fn agent(&mut self, line: Line, word: &FromAgent) {
+    pub(super) fn handle_agent(&mut self, connection: ConnectionId, word: &FromAgent) {
         let now = self.now();
         let mut out = Vec::new();
         match (&mut self.stage, &mut self.duties) {
             (Stage::Takes(group), Some(duties)) if group.leads_for_certain() => {
-                duties.hear(now, line, word, group.record(), &mut out);
+                duties.hear(now, connection, word, group.record(), &mut out);
             }
-            _ => out.push(Out::Say(line, ToAgent::Elsewhere(self.leader()))),
+            _ => out.push(Out::Say(connection, ToAgent::Elsewhere(self.leader()))),
         }
         self.carry_out(out);
     }
 
-    pub(super) fn person(&mut self, line: Line, word: FromPerson) {
+    pub(super) fn handle_operator(&mut self, connection: ConnectionId, word: FromPerson) {
         let now = self.now();
         let elsewhere = ToPerson::Elsewhere(self.leader());
         let mut out = Vec::new();
         match (&mut self.stage, &mut self.duties) {
             (Stage::Takes(group), Some(duties)) if group.leads_for_certain() => {
-                self.asked.insert(line);
+                self.asked.insert(connection);
                 match word {
                     FromPerson::Table(order @ (TableOrder::Off { .. } | TableOrder::Join { .. }))
                         if self.voice.is_some() =>
                     {
-                        return self.order_site(line, &order);
+                        return self.order_site(connection, &order);
                     }
-                    FromPerson::Add { keeper, at } => return self.ask(line, keeper, at),
+                    FromPerson::Add { keeper, at } => return self.ask_incarnation(connection, keeper, at),
                     FromPerson::Remove { keeper } => match group.remove(keeper) {
-                        Ok(()) => self.changing = Some((line, keeper, None)),
+                        Ok(()) => self.changing = Some((connection, keeper, None)),
                         // It was removed before: as ordered.
                         Err(_) if group.held().removed.contains(&keeper) => {
-                            out.push(Out::Answer(line, ToPerson::Done(group.record().version)));
+                            out.push(Out::Answer(connection, ToPerson::Done(group.record().version)));
                         }
-                        Err(no) => out.push(Out::Answer(line, ToPerson::Refused(no.to_string()))),
+                        Err(no) => out.push(Out::Answer(connection, ToPerson::Refused(no.to_string()))),
                     },
                     word => {
-                        duties.order(now, line, &word, group.record(), &mut out);
-                        // What the driver knows can be told in any case.
-                        let none = |o: &Out| matches!(o, Out::Answer(l, ToPerson::Refused(_)) if *l == line);
+                        duties.order(now, connection, &word, group.record(), &mut out);
+                        // What the replica knows can be told in any case.
+                        let none =
+                            |o: &Out| matches!(o, Out::Answer(l, ToPerson::Refused(_)) if *l == connection);
                         if word == FromPerson::Status && out.iter().any(none) {
                             out.retain(|o| !none(o));
-                            out.push(Out::Answer(line, ToPerson::Status(Box::default())));
+                            out.push(Out::Answer(connection, ToPerson::Status(Box::default())));
                         }
                     }
                 }
             }
             // How things stand here may be asked of any keeper.
             _ if word == FromPerson::Status => {
-                out.push(Out::Answer(line, ToPerson::Status(Box::default())));
+                out.push(Out::Answer(connection, ToPerson::Status(Box::default())));
             }
-            _ => out.push(Out::Answer(line, elsewhere)),
+            _ => out.push(Out::Answer(connection, elsewhere)),
         }
         self.carry_out(out);
     }
 
     /// Asks a keeper that is to be added for its folder.
-    fn ask(&mut self, line: Line, keeper: u64, at: String) {
+    fn ask_incarnation(&mut self, connection: ConnectionId, keeper: u64, at: String) {
         let Stage::Takes(group) = &self.stage else { return };
         let known = group.held().members.get(&keeper);
         if known.is_some_and(|m| m.at == at) {
@@ -141,29 +142,37 @@
                     ToPerson::Refused(format!("keeper {keeper} was added and has not got the record yet"))
                 }
             };
-            return self.answer(line, word);
+            return self.answer(connection, word);
         }
         if let Err(no) = group.may_add(keeper) {
-            return self.answer(line, ToPerson::Refused(no.to_string()));
+            return self.answer(connection, ToPerson::Refused(no.to_string()));
         }
         let address = match at.parse::<SocketAddr>() {
             Ok(address) if !address.ip().is_unspecified() && address.port() != 0 => address,
-            _ => return self.answer(line, ToPerson::Refused(format!("{at:?}: no address with a port"))),
+            _ => {
+                return self.answer(connection, ToPerson::Refused(format!("{at:?}: no address with a port")))
+            }
         };
-        let door = self.door.clone();
+        let context = self.context.clone();
         let asking = async move {
-            let folder = match introduce(&door, address).await {
-                Ok((_, Peer::Known { incarnation })) => Ok(incarnation),
-                Ok((_, Peer::Refused(why))) => Err(why),
+            let folder = match handshake(&context, address).await {
+                Ok((_, PeerMessage::Known { incarnation })) => Ok(incarnation),
+                Ok((_, PeerMessage::Refused(why))) => Err(why),
                 Ok((_, other)) => Err(format!("it answers {other:?}")),
                 Err(e) => Err(e.to_string()),
             };
-            let _ = door.inbox.send(In::Asked { line, keeper, at, folder }).await;
+            let _ = context.inbox.send(Incoming::Asked { connection, keeper, at, folder }).await;
         };
         self.executor.spawn(asking).detach();
     }
 
-    pub(super) fn add(&mut self, line: Line, keeper: u64, at: String, folder: Result<u64, String>) {
+    pub(super) fn add_replica(
+        &mut self,
+        connection: ConnectionId,
+        keeper: u64,
+        at: String,
+        folder: Result<u64, String>,
+    ) {
         let Stage::Takes(group) = &mut self.stage else { return };
         let added = match folder {
             Ok(incarnation) => {
@@ -173,8 +182,8 @@
             Err(e) => Err(format!("keeper {keeper} at {at}: {e}")),
         };
         match added {
-            Ok(()) => self.changing = Some((line, keeper, None)),
-            Err(e) => self.answer(line, ToPerson::Refused(e)),
+            Ok(()) => self.changing = Some((connection, keeper, None)),
+            Err(e) => self.answer(connection, ToPerson::Refused(e)),
         }
     }
 }
--- a/src/keeper/driver/sites.rs
+++ b/src/keeper/replica/sites.rs
@@ -1,13 +1,16 @@
-//! Lines to the other sites of a federation: this site's voice has one to each other's, and those have one to it.
+//! Connections to the other sites of a federation: this site's voice has one to each other's, and those have one to it.
 //!
 //! A site is reached at whichever of its keepers leads it. The addresses are tried in turn; one that does not lead says who does, where it
-//! knows. A voice of a later term at its site goes before an earlier one, on either side of a line.
+//! knows. A voice of a later term at its site goes before an earlier one, on either side of a connection.
 
-use super::transport::{again, hear_words, send_words, within, INTRODUCTION, PULSE, STUCK};
-use super::trouble::Wrong;
-use super::{draw, transport, Door, Driver, In, Stage, PEER_QUEUE};
+use super::transport::{
+    receive_messages, retry_delay, send_messages, with_timeout, HANDSHAKE_TIMEOUT, HEARTBEAT_TIMEOUT,
+    WRITE_TIMEOUT,
+};
+use super::trouble::Conflict;
+use super::{draw, transport, Context, Incoming, Replica, Stage, PEER_QUEUE};
 use crate::keeper::frames::{self, Broken};
-use crate::keeper::leader::Line;
+use crate::keeper::leader::ConnectionId;
 use crate::keeper::table::voice::{Came, Out, Voice, Word};
 use crate::keeper::wire::{Hello, TableOrder, Who, MOST, VERSION};
 use async_channel::{Receiver, Sender};
@@ -23,7 +26,7 @@
 /// Longest frame between voices: a snapshot of the federation's record, and what is said with it.
 const SITE_MOST: usize = 256 * 1024;
 
-/// What is said on a line between voices.
+/// What is said on a connection between voices.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Said {
     /// The record of the site that connected, and the term of its voice there.
@@ -61,10 +64,10 @@
     term: u64,
 }
 
-/// What is known of the line to another site.
+/// What is known of the connection to another site.
 #[derive(Default)]
-struct Reach {
-    line: transport::Reach,
+struct LinkState {
+    connection: transport::LinkState,
     /// The term of the voice that answers.
     term: Cell<u64>,
     at: Cell<Option<SocketAddr>>,
@@ -72,18 +75,18 @@
     lives: Cell<Option<Instant>>,
 }
 
-struct Outgoing {
+struct OutgoingLink {
     queue: Sender<Vec<u8>>,
     at: Vec<SocketAddr>,
-    reach: Rc<Reach>,
-    /// Ends the line when it is dropped.
+    reach: Rc<LinkState>,
+    /// Ends the connection when it is dropped.
     _task: Task<()>,
 }
 
-/// The lines.
+/// The connections.
 #[derive(Default)]
 pub(super) struct Sites {
-    outgoing: BTreeMap<u64, Outgoing>,
+    outgoing: BTreeMap<u64, OutgoingLink>,
     /// With the term of the voice that speaks.
     incoming: BTreeMap<u64, (u64, Sender<()>)>,
     /// The highest term that was seen of a site's voice, with the site's incarnation.
@@ -94,39 +97,44 @@
     told: Option<(u64, u64, Option<u64>)>,
 }
 
-/// A line that another site's voice opened.
-pub(super) async fn hear_site(door: Door, mut stream: Async<TcpStream>, site: u64) -> Result<(), Broken> {
-    let me = within(&door.wheel, INTRODUCTION, frames::read(&mut stream, SITE_MOST)).await?;
+/// A connection that another site's voice opened.
+pub(super) async fn serve_site(
+    context: Context,
+    mut stream: Async<TcpStream>,
+    site: u64,
+) -> Result<(), Broken> {
+    let me = with_timeout(&context.wheel, HANDSHAKE_TIMEOUT, frames::read(&mut stream, SITE_MOST)).await?;
     let Said::Me { incarnation, term } = me else { return Ok(()) };
     let (answer, answered) = async_channel::bounded(1);
     let (alive, ended) = async_channel::bounded::<()>(1);
-    let _ = door.inbox.send(In::Site(Site::Came { site, incarnation, term, answer, alive })).await;
+    let _ = context.inbox.send(Incoming::Site(Site::Came { site, incarnation, term, answer, alive })).await;
     let Ok(said) = answered.recv().await else { return Ok(()) };
-    within(&door.wheel, STUCK, frames::write(&mut stream, &said, SITE_MOST)).await?;
+    with_timeout(&context.wheel, WRITE_TIMEOUT, frames::write(&mut stream, &said, SITE_MOST)).await?;
     if !matches!(said, Said::Known { .. }) {
         return Ok(());
     }
     let word = |said| match said {
-        Said::Word(word) => Ok(In::Site(Site::Word { site, word })),
+        Said::Word(word) => Ok(Incoming::Site(Site::Word { site, word })),
         other => Err(Broken::Io(std::io::Error::other(format!("{other:?} from a site")))),
     };
-    hear_words(&door, stream, (&Said::Pulse, SITE_MOST), &ended, word).await
+    receive_messages(&context, stream, (&Said::Pulse, SITE_MOST), &ended, word).await
 }
 
 /// Tells one that came to the wrong federation what it came to.
-pub(super) async fn shut_out(door: &Door, mut stream: Async<TcpStream>) -> Result<(), Broken> {
-    let what = match &door.federation {
+pub(super) async fn refuse(context: &Context, mut stream: Async<TcpStream>) -> Result<(), Broken> {
+    let what = match &context.federation {
         Some((name, number)) => {
             format!("it came to site {number} of federation {name:?}, form {VERSION}, which may not know its address")
         }
         None => format!("it came to a keeper in no federation, form {VERSION}"),
     };
-    within(&door.wheel, STUCK, frames::write(&mut stream, &Said::Refused(what), SITE_MOST)).await?;
+    with_timeout(&context.wheel, WRITE_TIMEOUT, frames::write(&mut stream, &Said::Refused(what), SITE_MOST))
+        .await?;
     Err(Broken::Io(std::io::ErrorKind::PermissionDenied.into()))
 }
 
 /// Introduces this site to another one's keeper.
-async fn introduce(door: &Door, me: &Me, at: SocketAddr) -> Result<(Async<TcpStream>, Said), Broken> {
+async fn handshake(context: &Context, me: &Me, at: SocketAddr) -> Result<(Async<TcpStream>, Said), Broken> {
     let meeting = async {
         let mut stream = Async::<TcpStream>::connect(at).await?;
         stream.get_ref().set_nodelay(true)?;
@@ -137,17 +145,17 @@
         let said = frames::read(&mut stream, SITE_MOST).await?;
         Ok((stream, said))
     };
-    within(&door.wheel, INTRODUCTION, meeting).await
+    with_timeout(&context.wheel, HANDSHAKE_TIMEOUT, meeting).await
 }
 
 /// Speaks to another site's voice, wherever that is.
-async fn speak_to(
-    door: Door,
+async fn send_to_site(
+    context: Context,
     me: Me,
     site: u64,
     places: Vec<SocketAddr>,
     going: Receiver<Vec<u8>>,
-    reach: Rc<Reach>,
+    reach: Rc<LinkState>,
 ) {
     let who = format!("federation {}: site {site}", me.federation);
     let (mut next, mut tried) = (fastrand::usize(..places.len().max(1)), 0);
@@ -155,34 +163,34 @@
         let Some(at) = places.get(next).copied() else { return };
         let mut elsewhere = None;
         let ended = async {
-            let (stream, said) = introduce(&door, &me, at).await?;
+            let (stream, said) = handshake(&context, &me, at).await?;
             if let Said::Elsewhere(hint) = said {
                 elsewhere = hint;
                 return Err(Broken::Io(std::io::Error::other("no keeper there leads its site")));
             }
             let known = matches!(said, Said::Known { .. });
-            // What waited for the last line is late by now.
+            // What waited for the last connection is late by now.
             while going.try_recv().is_ok() {}
             if let Said::Known { term, .. } = &said {
                 reach.term.set(*term);
                 reach.at.set(Some(at));
                 reach.lives.set(Some(Instant::now()));
             }
-            reach.line.up.set(known);
+            reach.connection.up.set(known);
             let refused = match &said {
                 Said::Refused(why) => Some(why.clone()),
                 _ => None,
             };
-            let _ = door.inbox.send(In::Site(Site::Answered { site, at, said })).await;
+            let _ = context.inbox.send(Incoming::Site(Site::Answered { site, at, said })).await;
             if let Some(why) = refused {
                 return Err(Broken::Io(std::io::Error::other(why)));
             }
             // One that is not the site that it should be is left; another one may answer there by now.
             let lives = || reach.lives.set(Some(Instant::now()));
-            send_words::<Said>(&door, stream, SITE_MOST, &going, &reach.line.up, lives).await
+            send_messages::<Said>(&context, stream, SITE_MOST, &going, &reach.connection.up, lives).await
         };
         let ended: Result<(), Broken> = ended.await;
-        let was_up = reach.line.up.replace(false);
+        let was_up = reach.connection.up.replace(false);
         tried = if was_up { 0 } else { tried + 1 };
         let hint = elsewhere.and_then(|hint| places.iter().position(|at| at.to_string() == hint));
         next = hint.unwrap_or(next + 1) % places.len();
@@ -190,12 +198,12 @@
             continue;
         }
         tried = 0;
-        reach.line.ended(&who, ended, false);
-        door.wheel.sleep(again()).await;
+        reach.connection.ended(&who, ended, false);
+        context.wheel.sleep(retry_delay()).await;
     }
 }
 
-impl Driver {
+impl Replica {
     /// Speaks for the site from now on, if it is in a federation.
     pub(super) fn begin_voice(&mut self) {
         let (Some(settings), Stage::Takes(group)) = (&self.config.federation, &self.stage) else { return };
@@ -215,7 +223,7 @@
         }
     }
 
-    /// Has a line to each other site, and to nobody else.
+    /// Has a connection to each other site, and to nobody else.
     pub(super) fn connect_sites(&mut self) {
         let Some(settings) = &self.config.federation else { return };
         let mut places: BTreeMap<u64, Vec<SocketAddr>> =
@@ -239,10 +247,11 @@
         for (site, at) in places {
             if !self.sites.outgoing.contains_key(&site) {
                 let (queue, going) = async_channel::bounded(PEER_QUEUE);
-                let reach: Rc<Reach> = Rc::default();
-                let task = speak_to(self.door.clone(), me.clone(), site, at.clone(), going, reach.clone());
+                let reach: Rc<LinkState> = Rc::default();
+                let task =
+                    send_to_site(self.context.clone(), me.clone(), site, at.clone(), going, reach.clone());
                 let task = self.executor.spawn(task);
-                self.sites.outgoing.insert(site, Outgoing { queue, at, reach, _task: task });
+                self.sites.outgoing.insert(site, OutgoingLink { queue, at, reach, _task: task });
             }
         }
     }
@@ -252,7 +261,9 @@
         let now = self.now();
         let (Some(voice), Stage::Takes(group)) = (&mut self.voice, &self.stage) else { return };
         for (site, o) in &self.sites.outgoing {
-            if o.reach.line.up.get() && o.reach.lives.get().is_some_and(|at| at.elapsed() < PULSE.1) {
+            if o.reach.connection.up.get()
+                && o.reach.lives.get().is_some_and(|at| at.elapsed() < HEARTBEAT_TIMEOUT)
+            {
                 voice.lives(now, *site);
             }
         }
@@ -260,11 +271,11 @@
         voice.tick(now, group.record(), &mut out);
         self.carry_voice(out);
         self.connect_sites();
-        self.tell_office(true);
+        self.tell_leader(true);
     }
 
     /// Tells the leader how the federation stands: at each change, and as time passes.
-    pub(super) fn tell_office(&mut self, tick: bool) {
+    pub(super) fn tell_leader(&mut self, tick: bool) {
         let now = self.now();
         let (Some(voice), Some(duties), Stage::Takes(group)) = (&self.voice, &mut self.duties, &self.stage)
         else {
@@ -300,18 +311,18 @@
                     let went = self.say_site(site, word);
                     self.voice.iter_mut().for_each(|voice| voice.sent(site, snapshot, went));
                 }
-                Out::Answer(line, word) => self.answer(line, word),
+                Out::Answer(connection, word) => self.answer(connection, word),
                 Out::Meet(site, at) => self.meet(site, at),
             }
         }
     }
 
     fn say_site(&mut self, site: u64, word: Word) -> bool {
-        let Some(line) = self.sites.outgoing.get(&site).filter(|o| o.reach.line.up.get()) else {
+        let Some(connection) = self.sites.outgoing.get(&site).filter(|o| o.reach.connection.up.get()) else {
             return false;
         };
         match frames::bytes(&Said::Word(word), SITE_MOST) {
-            Ok(bytes) => line.queue.try_send(bytes).is_ok(),
+            Ok(bytes) => connection.queue.try_send(bytes).is_ok(),
             Err(e) => {
                 log::error!("keeper {}: a word to site {site}: {e}", self.config.keeper);
                 false
@@ -329,11 +340,11 @@
         let Some(incarnation) = voice.incarnation(group.record()) else { return };
         let (number, term) = (settings.number, voice.term());
         let me = Me { federation: (&*settings.name).into(), number, incarnation, term };
-        let door = self.door.clone();
+        let context = self.context.clone();
         let asking = async move {
             let mut folder = Err("no address".to_string());
             for at in places {
-                folder = match introduce(&door, &me, at).await {
+                folder = match handshake(&context, &me, at).await {
                     Ok((_, Said::Known { number, incarnation, .. })) if number == site => Ok(incarnation),
                     Ok((_, Said::Known { number, .. })) => Err(format!("{at}: it is site {number}")),
                     Ok((_, Said::Refused(why))) => Err(format!("{at}: {why}")),
@@ -345,17 +356,17 @@
                     break;
                 }
             }
-            let _ = door.inbox.send(In::Site(Site::Met { site, folder })).await;
+            let _ = context.inbox.send(Incoming::Site(Site::Met { site, folder })).await;
         };
         self.executor.spawn(asking).detach();
     }
 
     /// A person's order on the roster.
-    pub(super) fn order_site(&mut self, line: Line, order: &TableOrder) {
+    pub(super) fn order_site(&mut self, connection: ConnectionId, order: &TableOrder) {
         let now = self.now();
         let Some(voice) = &mut self.voice else { return };
         let mut out = Vec::new();
-        voice.order(now, line, order, &mut out);
+        voice.order(now, connection, order, &mut out);
         self.carry_voice(out);
     }
 
@@ -367,11 +378,11 @@
             Site::Came { site, incarnation, term, answer, alive } => {
                 let said = self.site_came(site, incarnation, term, &mut out);
                 if matches!(said, Said::Known { .. }) {
-                    self.wrong.remove(&(site, Wrong::SiteCame));
+                    self.wrong.remove(&(site, Conflict::SiteCame));
                     self.sites.incoming.insert(site, (term, alive));
                     self.sites.terms.insert(site, (incarnation, term));
                     // What it was spoken to by is one that speaks for it no more.
-                    let older = |o: &Outgoing| o.reach.line.up.get() && o.reach.term.get() < term;
+                    let older = |o: &OutgoingLink| o.reach.connection.up.get() && o.reach.term.get() < term;
                     if self.sites.outgoing.get(&site).is_some_and(older) {
                         self.sites.outgoing.remove(&site);
                     }
@@ -386,7 +397,7 @@
             }
             Site::Answered { site, said, .. } => {
                 if let Said::Refused(why) = said {
-                    self.site_is_wrong(site, Wrong::SiteShut, &why);
+                    self.site_is_wrong(site, Conflict::SiteShut, &why);
                 }
             }
             Site::Word { site, word } => {
@@ -406,7 +417,7 @@
         }
         self.carry_voice(out);
         self.connect_sites();
-        self.tell_office(false);
+        self.tell_leader(false);
     }
 
     /// A site that knows this one answered, as the site of this number.
@@ -430,25 +441,25 @@
         if let Some(o) = self.sites.outgoing.get(&site) {
             if came != Came::Known {
                 // Nothing is said to it.
-                o.reach.line.up.set(false);
-            } else if o.reach.line.told.take().is_some() {
+                o.reach.connection.up.set(false);
+            } else if o.reach.connection.told.take().is_some() {
                 log::info!("federation {}: site {site} at {at}: is reached", voice.known().name);
             }
         }
         match came {
-            Came::No(why) => self.site_is_wrong(site, Wrong::SiteAnswers, &why),
+            Came::No(why) => self.site_is_wrong(site, Conflict::SiteAnswers, &why),
             Came::Later => {}
             Came::Known => {
                 self.sites.terms.insert(site, (incarnation, term));
-                self.wrong.remove(&(site, Wrong::SiteAnswers));
-                self.wrong.remove(&(site, Wrong::SiteShut));
+                self.wrong.remove(&(site, Conflict::SiteAnswers));
+                self.wrong.remove(&(site, Conflict::SiteShut));
             }
         }
     }
 
     fn site_came(&mut self, site: u64, incarnation: u64, term: u64, out: &mut Vec<Out>) -> Said {
         let now = self.now();
-        let leader = self.leader().and_then(|keeper| self.reached(keeper)).map(|at| at.to_string());
+        let leader = self.leader().and_then(|keeper| self.address_of(keeper)).map(|at| at.to_string());
         let (Some(voice), Stage::Takes(group)) = (&mut self.voice, &self.stage) else {
             return Said::Elsewhere(leader);
         };
@@ -461,20 +472,20 @@
             Came::Known => Said::Known { number, incarnation: own, term: voice.term() },
             Came::Later => Said::Elsewhere(None),
             Came::No(why) => {
-                self.site_is_wrong(site, Wrong::SiteCame, &why);
+                self.site_is_wrong(site, Conflict::SiteCame, &why);
                 Said::Refused(why)
             }
         }
     }
 
-    fn site_is_wrong(&mut self, site: u64, how: Wrong, why: &str) {
-        if self.is_new_wrong(site, how, why) {
+    fn site_is_wrong(&mut self, site: u64, how: Conflict, why: &str) {
+        if self.is_new_conflict(site, how, why) {
             let name = self.voice.as_ref().map_or_else(|| site.to_string(), |v| v.name_of(site));
             let who =
                 self.config.federation.as_ref().map(|f| format!("federation {}", f.name)).unwrap_or_default();
             match how {
-                Wrong::SiteCame => log::error!("{who}: refuses site {name}: {why}"),
-                Wrong::SiteAnswers => log::error!("{who}: refuses what answers as site {name}: {why}"),
+                Conflict::SiteCame => log::error!("{who}: refuses site {name}: {why}"),
+                Conflict::SiteAnswers => log::error!("{who}: refuses what answers as site {name}: {why}"),
                 _ => log::warn!("{who}: site {name} does not hear this one: {why}"),
             }
         }
@@ -485,8 +496,8 @@
         let Some(voice) = &self.voice else { return Vec::new() };
         let mut told = voice.trouble();
         for (site, o) in &self.sites.outgoing {
-            let why = o.reach.line.why.borrow();
-            if !o.reach.line.up.get() && !why.is_empty() {
+            let why = o.reach.connection.why.borrow();
+            if !o.reach.connection.up.get() && !why.is_empty() {
                 let (name, at) = (voice.name_of(*site), &o.at);
                 told.push((*site, format!("site {name}: not reached at {at:?}: {why}")));
             }
--- a/src/keeper/driver/start.rs
+++ b/src/keeper/replica/start.rs
@@ -1,7 +1,7 @@
 //! Starts a replica: its state folder, its listener, its tasks; and ends it when it is told to.
 
-use super::accept::Gate;
-use super::{draw, sites, Door, Driver, In, Stage};
+use super::accept::Acceptor;
+use super::{draw, sites, Context, Incoming, Replica, Stage};
 use crate::core::wheel::Wheel;
 use crate::keeper::begin::Begin;
 use crate::keeper::config::Config;
@@ -23,10 +23,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-/// Most lines at once, where the system allows so many descriptors.
-const LINES: u64 = 4096;
-/// Descriptors that are none of lines: files, peers, signals.
-const OTHERS: u64 = 64;
+/// Most connections at once, where the system allows so many descriptors.
+const MOST_CONNECTIONS: u64 = 4096;
+/// Descriptors that are none of connections: files, peers, signals.
+const OTHER_DESCRIPTORS: u64 = 64;
 /// Words that wait to be decided upon; whoever brings more waits.
 const INBOX: usize = 1024;
 /// Connections that wait to be accepted: as many agents may come at once.
@@ -61,14 +61,21 @@
     async_io::block_on(executor.run(served))
 }
 
-/// How many lines may be open: as many descriptors as the system gives when it is asked for more.
-fn most_lines() -> u64 {
+/// How many connections may be open: as many descriptors as the system gives when it is asked for more.
+fn most_connections() -> u64 {
     let limit = getrlimit(Resource::Nofile);
-    let wanted = limit.maximum.unwrap_or(LINES + OTHERS).min(LINES + OTHERS);
+    let wanted = limit
+        .maximum
+        .unwrap_or(MOST_CONNECTIONS + OTHER_DESCRIPTORS)
+        .min(MOST_CONNECTIONS + OTHER_DESCRIPTORS);
     if limit.current.is_some_and(|now| now < wanted) {
         let _ = setrlimit(Resource::Nofile, Rlimit { current: Some(wanted), maximum: limit.maximum });
     }
-    getrlimit(Resource::Nofile).current.unwrap_or(wanted).saturating_sub(OTHERS).min(LINES)
+    getrlimit(Resource::Nofile)
+        .current
+        .unwrap_or(wanted)
+        .saturating_sub(OTHER_DESCRIPTORS)
+        .min(MOST_CONNECTIONS)
 }
 
 /// Listens where the file says.
@@ -91,38 +98,39 @@
     let listener = listen(&config)?;
     let wheel = Wheel::new();
     let (inbox, coming) = async_channel::bounded(INBOX);
-    let mut driver = Driver::new(config, keep, base, (inbox, wheel.clone()), executor.clone())?;
+    let mut replica = Replica::new(config, keep, base, (inbox, wheel.clone()), executor.clone())?;
     executor.spawn(async move { wheel.turn().await }).detach();
-    driver.connect();
-    driver.connect_sites();
-    let (allowed, sites) = (driver.allowed.clone(), driver.sites.allowed.clone());
-    let gate = Gate { door: driver.door.clone(), config: driver.config.clone(), allowed, sites };
-    executor.spawn(gate.accept(listener, executor.clone())).detach();
-    driver.first().await?;
-    driver.fits()?;
+    replica.connect_replicas();
+    replica.connect_sites();
+    let (allowed, sites) = (replica.allowed.clone(), replica.sites.allowed.clone());
+    let acceptor =
+        Acceptor { context: replica.context.clone(), config: replica.config.clone(), allowed, sites };
+    executor.spawn(acceptor.accept(listener, executor.clone())).detach();
+    replica.begin().await?;
+    replica.check_federation()?;
     let ended = async {
         ending.next().await;
         Ok(())
     };
-    let ended = driver.go_on(&coming, None).or(ended).await;
+    let ended = replica.run(&coming, None).or(ended).await;
     ended?;
-    let who = driver.who();
+    let who = replica.who();
     log::info!("{who}: told to end");
-    driver.farewell(&coming).await?;
+    replica.hand_over(&coming).await?;
     log::info!("{who}: ends");
     Ok(())
 }
 
-impl Driver {
+impl Replica {
     /// Begins from what the folder has; nothing is connected yet.
     fn new(
         config: Config,
         keep: Keep,
         base: Base,
-        (inbox, wheel): (Sender<In>, Rc<Wheel>),
+        (inbox, wheel): (Sender<Incoming>, Rc<Wheel>),
         executor: Rc<LocalExecutor<'static>>,
-    ) -> Result<Driver, String> {
-        let door = Door {
+    ) -> Result<Replica, String> {
+        let context = Context {
             inbox,
             wheel,
             site: config.site.as_str().into(),
@@ -130,7 +138,7 @@
             incarnation: base.identity.incarnation,
             federation: config.federation.as_ref().map(|f| ((&*f.name).into(), f.number)),
             open: Rc::default(),
-            most: most_lines(),
+            most: most_connections(),
             next: Rc::default(),
         };
         let now = Instant::now();
@@ -138,8 +146,8 @@
             true => Stage::Takes(Box::new(Group::new(base, draw()).map_err(|e| e.to_string())?)),
             false => Stage::Begins(Box::new(Begin::new(base))),
         };
-        Ok(Driver {
-            door,
+        Ok(Replica {
+            context,
             executor,
             stage,
             duties: None,
@@ -149,7 +157,7 @@
             again: None,
             start: now,
             ticked: now,
-            lines: BTreeMap::new(),
+            connections: BTreeMap::new(),
             asked: BTreeSet::new(),
             changing: None,
             outgoing: BTreeMap::new(),
@@ -164,7 +172,7 @@
     }
 
     /// Whether the folder is of the site that the file names in its federation.
-    fn fits(&self) -> Result<(), String> {
+    fn check_federation(&self) -> Result<(), String> {
         let Stage::Takes(group) = &self.stage else { return Ok(()) };
         let Some(base) = &group.record().written.base else { return Ok(()) };
         match &self.config.federation {
--- a/src/keeper/driver/trouble.rs
+++ b/src/keeper/replica/trouble.rs
@@ -1,14 +1,14 @@
 //! What keeps other replicas and sites from taking part: logged when it begins, and shown in the status for as long as it lasts.
 
-use super::{Driver, Stage, LASTS};
+use super::{Replica, Stage, CONFLICT_LASTS};
 use std::time::Instant;
 
 /// Most of that which is held at once: numbers of keepers that others only claim count, too.
-const WRONGS: usize = 64;
+const MOST_CONFLICTS: usize = 64;
 
-/// Why two keepers with a line between them do not take part in one group.
+/// Why two keepers with a connection between them do not take part in one group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Wrong {
+pub(super) enum Conflict {
     /// One that came in this one's name is refused.
     Came,
     /// What answers at its address is another one.
@@ -23,27 +23,27 @@
     SiteShut,
 }
 
-impl Driver {
+impl Replica {
     /// Two keepers cannot go together: told when it begins, and in the status for as long as it lasts.
-    pub(super) fn is_new_wrong(&mut self, number: u64, how: Wrong, why: &str) -> bool {
+    pub(super) fn is_new_conflict(&mut self, number: u64, how: Conflict, why: &str) -> bool {
         let now = Instant::now();
-        self.wrong.retain(|_, (at, _)| now.duration_since(*at) < LASTS);
-        if self.wrong.len() >= WRONGS && !self.wrong.contains_key(&(number, how)) {
+        self.wrong.retain(|_, (at, _)| now.duration_since(*at) < CONFLICT_LASTS);
+        if self.wrong.len() >= MOST_CONFLICTS && !self.wrong.contains_key(&(number, how)) {
             return false;
         }
         let told = self.wrong.insert((number, how), (now, why.into()));
         told.is_none_or(|(_, before)| before != why)
     }
 
-    pub(super) fn is_wrong(&mut self, keeper: u64, how: Wrong, why: &str) {
-        if !self.is_new_wrong(keeper, how, why) {
+    pub(super) fn note_conflict(&mut self, keeper: u64, how: Conflict, why: &str) {
+        if !self.is_new_conflict(keeper, how, why) {
             return;
         }
         let (who, at) =
             (self.who(), self.outgoing.get(&keeper).map(|o| o.at.to_string()).unwrap_or_default());
         match how {
-            Wrong::Came => log::error!("{who}: refuses keeper {keeper}: {why}"),
-            Wrong::Answers => log::error!("{who}: refuses what answers as keeper {keeper} at {at}: {why}"),
+            Conflict::Came => log::error!("{who}: refuses keeper {keeper}: {why}"),
+            Conflict::Answers => log::error!("{who}: refuses what answers as keeper {keeper} at {at}: {why}"),
             _ => log::warn!("{who}: keeper {keeper} at {at} does not hear it: {why}"),
         }
     }
@@ -52,14 +52,14 @@
     pub(super) fn trouble(&self) -> Vec<(u64, String)> {
         let mut told: Vec<(u64, String)> = Vec::new();
         for ((keeper, how), (at, why)) in &self.wrong {
-            if at.elapsed() < LASTS {
+            if at.elapsed() < CONFLICT_LASTS {
                 let what = match how {
-                    Wrong::Came => "refused as it came",
-                    Wrong::Answers => "refused as it answered",
-                    Wrong::Shut => "does not hear this keeper",
-                    Wrong::SiteCame => "as a site: refused as it came",
-                    Wrong::SiteAnswers => "as a site: refused as it answered",
-                    Wrong::SiteShut => "as a site: does not hear this one",
+                    Conflict::Came => "refused as it came",
+                    Conflict::Answers => "refused as it answered",
+                    Conflict::Shut => "does not hear this keeper",
+                    Conflict::SiteCame => "as a site: refused as it came",
+                    Conflict::SiteAnswers => "as a site: refused as it answered",
+                    Conflict::SiteShut => "as a site: does not hear this one",
                 };
                 told.push((*keeper, format!("{what}: {why}")));
             }
--- a/src/keeper/table/voice.rs
+++ b/src/keeper/table/voice.rs
@@ -23,7 +23,7 @@
 use super::switch::Known;
 use crate::keeper::begin::{admit, Begin, Heard};
 use crate::keeper::group::{Event, Fatal, Group, Member, ELECTION};
-use crate::keeper::leader::Line;
+use crate::keeper::leader::ConnectionId;
 use crate::keeper::log::{Base, Identity, Piece};
 use crate::keeper::record::{self, Record};
 use crate::keeper::wire::{TableOrder, ToPerson};
@@ -131,7 +131,7 @@
     /// The same with a message of the group; whether it went is to be told by [`Voice::sent`]. And whether it has a snapshot.
     Raft(u64, Word, bool),
     /// Answer a person.
-    Answer(Line, ToPerson),
+    Answer(ConnectionId, ToPerson),
     /// Ask a site at these addresses for its incarnation; answered by [`Voice::met`].
     Meet(u64, Vec<SocketAddr>),
 }
@@ -160,7 +160,7 @@
 /// Who ordered a change of the roster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Asker {
-    Here(Line),
+    Here(ConnectionId),
     There(u64, u64),
 }
 
@@ -232,7 +232,7 @@
     given: VecDeque<(u64, Time)>,
     lead: Option<Lead>,
     /// Orders that were handed on.
-    orders: BTreeMap<u64, (Line, Time)>,
+    orders: BTreeMap<u64, (ConnectionId, Time)>,
     order: u64,
     known: Known,
     told: Option<Told>,
@@ -878,7 +878,7 @@
     // ---- The roster.
 
     /// A person's order on the roster: carried out here or at the site that leads.
-    pub fn order(&mut self, now: Time, line: Line, order: &TableOrder, out: &mut Vec<Out>) {
+    pub fn order(&mut self, now: Time, line: ConnectionId, order: &TableOrder, out: &mut Vec<Out>) {
         if self.lead.is_some() {
             self.do_order(now, Asker::Here(line), order, out);
             return self.work(now, out);
@@ -906,7 +906,7 @@
     }
 
     /// A line of a person is gone.
-    pub fn hung_up(&mut self, line: Line) {
+    pub fn hung_up(&mut self, line: ConnectionId) {
         self.orders.retain(|_, (l, _)| *l != line);
     }
 
