Move single connections to other sites to a file of their own

Change: the handshake, what is said and the attempts to reach a site stand in `site_links.rs`; `sites.rs` keeps the replica's dealings with them.

--- a/src/keeper/replica.rs
+++ b/src/keeper/replica.rs
@@ -1,8 +1,8 @@
 //! Carries the machines: sockets, the log's thread, time. One task owns all that decides; the others bring it what came in
 //! and take away what goes out.
 //!
-//! [`start`] opens what is needed and runs the task's [`event_loop`], which hands what came in to [`receive`] and [`requests`]. Connections
-//! are accepted by [`accept`], and opened to other replicas by [`peers`] and to other sites by [`sites`], both over [`transport`].
+//! `start` opens what is needed and runs the task's `event_loop`, which hands what came in to `receive` and `requests`. Connections are
+//! accepted by `accept`, and opened to other replicas by `peers` and to other sites by `sites` and `site_links`, both over `transport`.
 
 use crate::core::wheel::Wheel;
 use crate::keeper::begin::Begin;
@@ -32,6 +32,7 @@
 mod peers;
 mod receive;
 mod requests;
+mod site_links;
 mod sites;
 mod start;
 mod transport;
@@ -65,7 +66,7 @@
     /// A connection is gone.
     Gone(ConnectionId),
     /// Something of another site.
-    Site(sites::Site),
+    Site(site_links::Site),
 }
 
 /// What a task needs to bring something in.
--- a/src/keeper/replica/accept.rs
+++ b/src/keeper/replica/accept.rs
@@ -2,7 +2,7 @@
 
 use super::peers::{refuse, serve_peer};
 use super::transport::{with_timeout, HANDSHAKE_TIMEOUT, WRITE_TIMEOUT};
-use super::{sites, Context, Incoming, RESOURCE_RETRY_DELAY};
+use super::{site_links, Context, Incoming, RESOURCE_RETRY_DELAY};
 use crate::keeper::config::Config;
 use crate::keeper::frames::{self, Broken};
 use crate::keeper::leader::ConnectionId;
@@ -106,8 +106,8 @@
         let here =
             context.federation.as_ref().filter(|(name, me)| hello.admit(name).is_ok() && number != *me);
         return match here {
-            Some(_) if site => sites::serve_site(context, stream, number).await,
-            _ => sites::refuse(&context, stream).await,
+            Some(_) if site => site_links::serve_site(context, stream, number).await,
+            _ => site_links::refuse(&context, stream).await,
         };
     }
     let admitted = hello.admit(&context.site);
--- a/src/keeper/replica/sites.rs
+++ b/src/keeper/replica/sites.rs
@@ -1,87 +1,20 @@
-//! Connections to the other sites of a federation: this site's voice has one to each other's, and those have one to it.
+//! The other sites of a federation: this site's voice has a connection to each other's, and those have one to it.
 //!
-//! A site is reached at whichever of its keepers leads it. The addresses are tried in turn; one that does not lead says who does, where it
-//! knows. A voice of a later term at its site goes before an earlier one, on either side of a connection.
+//! A voice of a later term at its site goes before an earlier one, on either side of a connection.
 
-use super::transport::{
-    receive_messages, retry_delay, send_messages, with_timeout, HANDSHAKE_TIMEOUT, HEARTBEAT_TIMEOUT,
-    WRITE_TIMEOUT,
-};
+use super::site_links::{handshake, send_to_site, LinkState, Me, OutgoingLink, Said, Site, SITE_MOST};
+use super::transport::HEARTBEAT_TIMEOUT;
 use super::trouble::Conflict;
-use super::{draw, transport, Context, Incoming, Replica, Stage, PEER_QUEUE};
-use crate::keeper::frames::{self, Broken};
+use super::{draw, Incoming, Replica, Stage, PEER_QUEUE};
+use crate::keeper::frames;
 use crate::keeper::leader::ConnectionId;
 use crate::keeper::table::voice::{Came, Out, Voice, Word};
-use crate::keeper::wire::{Hello, TableOrder, Who, MOST, VERSION};
-use async_channel::{Receiver, Sender};
-use async_executor::Task;
-use async_io::Async;
-use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
+use crate::keeper::wire::TableOrder;
+use async_channel::Sender;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::time::Instant;
-
-/// Longest frame between voices: a snapshot of the federation's record, and what is said with it.
-const SITE_MOST: usize = 256 * 1024;
-
-/// What is said on a connection between voices.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) enum Said {
-    /// The record of the site that connected, and the term of its voice there.
-    Me { incarnation: u64, term: u64 },
-    /// It is known, and written down. And the same of the one that answers.
-    Known { number: u64, incarnation: u64, term: u64 },
-    /// This keeper is not its site's voice, or not ready to be; where that is, if it is known.
-    Elsewhere(Option<String>),
-    /// It is not heard, and why.
-    Refused(String),
-    /// A sign of life.
-    Pulse,
-    /// What a voice says.
-    Word(Word),
-}
-
-/// What comes in of other sites.
-pub(super) enum Site {
-    /// A voice connected.
-    Came { site: u64, incarnation: u64, term: u64, answer: Sender<Said>, alive: Sender<()> },
-    /// One answered, at this address.
-    Answered { site: u64, at: SocketAddr, said: Said },
-    /// One says something.
-    Word { site: u64, word: Word },
-    /// One was asked for its incarnation, in order to add it.
-    Met { site: u64, folder: Result<u64, String> },
-}
-
-/// Who this site is to others.
-#[derive(Clone)]
-struct Me {
-    federation: Rc<str>,
-    number: u64,
-    incarnation: u64,
-    term: u64,
-}
-
-/// What is known of the connection to another site.
-#[derive(Default)]
-struct LinkState {
-    connection: transport::LinkState,
-    /// The term of the voice that answers.
-    term: Cell<u64>,
-    at: Cell<Option<SocketAddr>>,
-    /// When it last gave a sign of life.
-    lives: Cell<Option<Instant>>,
-}
-
-struct OutgoingLink {
-    queue: Sender<Vec<u8>>,
-    at: Vec<SocketAddr>,
-    reach: Rc<LinkState>,
-    /// Ends the connection when it is dropped.
-    _task: Task<()>,
-}
 
 /// The connections.
 #[derive(Default)]
@@ -97,112 +30,6 @@
     told: Option<(u64, u64, Option<u64>)>,
 }
 
-/// A connection that another site's voice opened.
-pub(super) async fn serve_site(
-    context: Context,
-    mut stream: Async<TcpStream>,
-    site: u64,
-) -> Result<(), Broken> {
-    let me = with_timeout(&context.wheel, HANDSHAKE_TIMEOUT, frames::read(&mut stream, SITE_MOST)).await?;
-    let Said::Me { incarnation, term } = me else { return Ok(()) };
-    let (answer, answered) = async_channel::bounded(1);
-    let (alive, ended) = async_channel::bounded::<()>(1);
-    let _ = context.inbox.send(Incoming::Site(Site::Came { site, incarnation, term, answer, alive })).await;
-    let Ok(said) = answered.recv().await else { return Ok(()) };
-    with_timeout(&context.wheel, WRITE_TIMEOUT, frames::write(&mut stream, &said, SITE_MOST)).await?;
-    if !matches!(said, Said::Known { .. }) {
-        return Ok(());
-    }
-    let word = |said| match said {
-        Said::Word(word) => Ok(Incoming::Site(Site::Word { site, word })),
-        other => Err(Broken::Io(std::io::Error::other(format!("{other:?} from a site")))),
-    };
-    receive_messages(&context, stream, (&Said::Pulse, SITE_MOST), &ended, word).await
-}
-
-/// Tells one that came to the wrong federation what it came to.
-pub(super) async fn refuse(context: &Context, mut stream: Async<TcpStream>) -> Result<(), Broken> {
-    let what = match &context.federation {
-        Some((name, number)) => {
-            format!("it came to site {number} of federation {name:?}, form {VERSION}, which may not know its address")
-        }
-        None => format!("it came to a keeper in no federation, form {VERSION}"),
-    };
-    with_timeout(&context.wheel, WRITE_TIMEOUT, frames::write(&mut stream, &Said::Refused(what), SITE_MOST))
-        .await?;
-    Err(Broken::Io(std::io::ErrorKind::PermissionDenied.into()))
-}
-
-/// Introduces this site to another one's keeper.
-async fn handshake(context: &Context, me: &Me, at: SocketAddr) -> Result<(Async<TcpStream>, Said), Broken> {
-    let meeting = async {
-        let mut stream = Async::<TcpStream>::connect(at).await?;
-        stream.get_ref().set_nodelay(true)?;
-        let hello = Hello { version: VERSION, site: me.federation.to_string(), who: Who::Site(me.number) };
-        frames::write(&mut stream, &hello, MOST).await?;
-        let word = Said::Me { incarnation: me.incarnation, term: me.term };
-        frames::write(&mut stream, &word, SITE_MOST).await?;
-        let said = frames::read(&mut stream, SITE_MOST).await?;
-        Ok((stream, said))
-    };
-    with_timeout(&context.wheel, HANDSHAKE_TIMEOUT, meeting).await
-}
-
-/// Speaks to another site's voice, wherever that is.
-async fn send_to_site(
-    context: Context,
-    me: Me,
-    site: u64,
-    places: Vec<SocketAddr>,
-    going: Receiver<Vec<u8>>,
-    reach: Rc<LinkState>,
-) {
-    let who = format!("federation {}: site {site}", me.federation);
-    let (mut next, mut tried) = (fastrand::usize(..places.len().max(1)), 0);
-    loop {
-        let Some(at) = places.get(next).copied() else { return };
-        let mut elsewhere = None;
-        let ended = async {
-            let (stream, said) = handshake(&context, &me, at).await?;
-            if let Said::Elsewhere(hint) = said {
-                elsewhere = hint;
-                return Err(Broken::Io(std::io::Error::other("no keeper there leads its site")));
-            }
-            let known = matches!(said, Said::Known { .. });
-            // What waited for the last connection is late by now.
-            while going.try_recv().is_ok() {}
-            if let Said::Known { term, .. } = &said {
-                reach.term.set(*term);
-                reach.at.set(Some(at));
-                reach.lives.set(Some(Instant::now()));
-            }
-            reach.connection.up.set(known);
-            let refused = match &said {
-                Said::Refused(why) => Some(why.clone()),
-                _ => None,
-            };
-            let _ = context.inbox.send(Incoming::Site(Site::Answered { site, at, said })).await;
-            if let Some(why) = refused {
-                return Err(Broken::Io(std::io::Error::other(why)));
-            }
-            // One that is not the site that it should be is left; another one may answer there by now.
-            let lives = || reach.lives.set(Some(Instant::now()));
-            send_messages::<Said>(&context, stream, SITE_MOST, &going, &reach.connection.up, lives).await
-        };
-        let ended: Result<(), Broken> = ended.await;
-        let was_up = reach.connection.up.replace(false);
-        tried = if was_up { 0 } else { tried + 1 };
-        let hint = elsewhere.and_then(|hint| places.iter().position(|at| at.to_string() == hint));
-        next = hint.unwrap_or(next + 1) % places.len();
-        if tried < places.len() && !was_up {
-            continue;
-        }
-        tried = 0;
-        reach.connection.ended(&who, ended, false);
-        context.wheel.sleep(retry_delay()).await;
-    }
-}
-
 impl Replica {
     /// Speaks for the site from now on, if it is in a federation.
     pub(super) fn begin_voice(&mut self) {
