--- a/src/agent/machine.rs
+++ b/src/agent/machine.rs
@@ -14,7 +14,7 @@
 //! senders then grows no faster than what is cold gets warm, with no word between them.
 
 use super::ledger::{Ledger, GROUPS, NAME};
-use super::register::{self, Doorway, Kind, Register, Said, Word};
+use super::register::{self, Doorway, Kind, Register, Said};
 use crate::keeper::wire::{
     lot, FromAgent, FromSender, Grant, Health, Listed, Print, Seen, Stance, ToAgent, ToSender, View, Want,
     ZoneOrder,
@@ -485,25 +485,22 @@
             ToAgent::View(view) => self.follow(now, view, out),
             ToAgent::Grant(grant) => self.granted(now, line, grant, out),
             ToAgent::Offer { number, print, text } => {
-                self.heard(Kind::Policy, Word::Offer { number, print, text }, out);
+                self.heard(Kind::Policy, ToSender::Offer { number, print, text }, out);
             }
             ToAgent::Rule { turn, number, paused } => {
                 let stance = if paused { Stance::Paused } else { Stance::Open };
-                self.heard(Kind::Policy, Word::Rule { turn, number, stance }, out);
-            }
-            ToAgent::Table(ToSender::Offer { number, print, text }) => {
-                self.heard(Kind::Table, Word::Offer { number, print, text }, out);
-            }
-            ToAgent::Table(ToSender::Rule { turn, number, stance }) => {
-                self.heard(Kind::Table, Word::Rule { turn, number, stance }, out);
+                self.heard(Kind::Policy, ToSender::Rule { turn, number, stance }, out);
             }
+            ToAgent::Table(word) => self.heard(Kind::Table, word, out),
         }
     }
 
     /// A word for a register.
-    fn heard(&mut self, kind: Kind, word: Word, out: &mut Vec<Out>) {
+    fn heard(&mut self, kind: Kind, word: ToSender, out: &mut Vec<Out>) {
         let mut told = Vec::new();
-        self.register(kind).into_iter().for_each(|r| r.hear(word.clone(), &mut told));
+        if let Some(register) = self.register(kind) {
+            register.hear(word, &mut told);
+        }
         self.pass_on(kind, told, out);
     }
 
@@ -749,15 +746,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn destinations_are_named_in_runs_and_at_a_bounded_length() {
-        assert_eq!(named(vec![]), "no destination");
-        assert_eq!(named(vec![4]), "destinations 4");
-        assert_eq!(named(vec![7, 2, 0, 1, 9]), "destinations 0-2, 7, 9");
-        let all = named((0..20_000).map(|n| 2 * n).chain([65_535]).collect());
-        assert!(all.ends_with("28, 30 and 19985 more") && all.len() < 200, "{all}");
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/keeper/replica/transport.rs
@@ -0,0 +1,120 @@
+//! What connections to other replicas and to other sites have in common: limits of time, signs of life, attempts to connect.
+
+use super::{Context, Incoming, CONFLICT_LASTS};
+use crate::core::wheel::Wheel;
+use crate::keeper::frames::{self, Broken};
+use async_channel::Receiver;
+use async_io::Async;
+use futures_lite::io::split;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// To say who one is, and to connect.
+pub(super) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// One that does not take a word for so long is ended.
+pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Between two signs of life to a keeper that sends.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// One that gives no sign of life for so long, five intervals, is left.
+pub(super) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Between two attempts to reach a keeper; the real time is drawn from there to twice as long.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// What is known of the connection to another keeper.
+#[derive(Default)]
+pub(super) struct LinkState {
+    pub(super) up: Cell<bool>,
+    /// Why there is none.
+    pub(super) why: RefCell<String>,
+    /// When that was last told, and what.
+    pub(super) told: RefCell<Option<(Instant, String)>>,
+}
+
+impl LinkState {
+    /// The connection has ended, and why if it broke: told once, and again where that is `new`.
+    pub(super) fn ended(&self, who: &str, ended: Result<(), Broken>, new: bool) {
+        let why = ended.err().map(|e| e.to_string());
+        *self.why.borrow_mut() = why.clone().unwrap_or_default();
+        let Some(why) = why else { return };
+        let known = |(at, before): &(Instant, String)| *before == why || at.elapsed() < CONFLICT_LASTS;
+        let mut told = self.told.borrow_mut();
+        if new || !told.as_ref().is_some_and(known) {
+            log::info!("{who}: is not reached: {why}");
+            *told = Some((Instant::now(), why));
+        }
+    }
+}
+
+/// Work that has to be done in time.
+pub(super) async fn with_timeout<T>(
+    wheel: &Rc<Wheel>,
+    time: Duration,
+    work: impl std::future::Future<Output = Result<T, Broken>>,
+) -> Result<T, Broken> {
+    let late = || Broken::Io(std::io::ErrorKind::TimedOut.into());
+    wheel.limit(time, work).await.unwrap_or_else(|| Err(late()))
+}
+
+/// Brings in what another one says, and tells it that this one lives, until the connection breaks or another one takes its place.
+pub(super) async fn receive_messages<T: Serialize + DeserializeOwned>(
+    context: &Context,
+    stream: Async<TcpStream>,
+    (pulse, most): (&T, usize),
+    ended: &Receiver<()>,
+    bring: impl Fn(T) -> Result<Incoming, Broken>,
+) -> Result<(), Broken> {
+    let (mut from, mut to) = split(stream);
+    let reading = async {
+        loop {
+            let word = bring(frames::read(&mut from, most).await?)?;
+            let _ = context.inbox.send(word).await;
+        }
+    };
+    let living = async {
+        loop {
+            with_timeout(&context.wheel, WRITE_TIMEOUT, frames::write(&mut to, pulse, most)).await?;
+            context.wheel.sleep(HEARTBEAT_INTERVAL).await;
+        }
+    };
+    let replaced = async {
+        let _ = ended.recv().await;
+        Ok(())
+    };
+    reading.or(living).or(replaced).await
+}
+
+/// Sends what is to be said, for as long as there are signs of life and the other one is who it should be; tells of each of those signs.
+pub(super) async fn send_messages<T: DeserializeOwned>(
+    context: &Context,
+    stream: Async<TcpStream>,
+    most: usize,
+    going: &Receiver<Vec<u8>>,
+    up: &Cell<bool>,
+    lives: impl Fn(),
+) -> Result<(), Broken> {
+    let (mut from, mut to) = split(stream);
+    let writing = async {
+        while let Ok(bytes) = going.recv().await {
+            with_timeout(&context.wheel, WRITE_TIMEOUT, async { Ok(to.write_all(&bytes).await?) }).await?;
+        }
+        Ok(())
+    };
+    let listening = async {
+        while up.get() {
+            with_timeout(&context.wheel, HEARTBEAT_TIMEOUT, frames::read::<T>(&mut from, most)).await?;
+            lives();
+        }
+        Ok(())
+    };
+    writing.or(listening).await
+}
+
+/// When another attempt is made to reach somebody.
+pub(super) fn retry_delay() -> Duration {
+    RETRY_DELAY + Duration::from_millis(fastrand::u64(0..=RETRY_DELAY.as_millis() as u64))
+}
