Read the load tool's answers by the typed errors of HTTP

Need: http::Bad is an error type now and has no numbered fields. The load tool passes it on as its source; nothing else changes.

--- a/lab/src/load/clients.rs
+++ b/lab/src/load/clients.rs
@@ -220,7 +220,7 @@
         };
         stream.send(&bytes).await?;
         let (answer, len) = loop {
-            match http::response(&stream.buf).map_err(|e| io::Error::other(e.1))? {
+            match http::response(&stream.buf).map_err(io::Error::other)? {
                 Some(whole) => break whole,
                 None if stream.fill().await? => {}
                 None => return Ok(Heard::Nothing),
