Report a segment whose file was cut, and name file and offset of a torn end

Need: a state folder torn at any byte gives back what is whole, and what is not is reported by file and offset.

Seen by reading: a newest segment whose file is cut between two frames is taken for one that ends there (`frame::is_end` of fewer than 17 bytes), so its lines go unreported; the line on a torn end names no file.

A newest file that is gone as a whole, or cut between two frames at a multiple of 4,096, is still not told (docs/store.md).

--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -120,6 +120,10 @@
     pub damage: Vec<Damage>,
     /// Bytes at the end that hold part of a frame.
     pub torn: u64,
+    /// Where those bytes begin: the segment's file, and the offset in it.
+    pub torn_at: Option<(String, u64)>,
+    /// Files that are shorter than any segment, and hold nothing.
+    pub short: Vec<String>,
     /// Bytes read.
     pub read: u64,
 }
@@ -212,7 +216,8 @@
             }
             log.legacy = Some((legacy.name, legacy.size, left));
         }
-        Ok(Opened { log, damage: scan.damage, torn: scan.torn, read: scan.read })
+        let recover::Scan { damage, torn, torn_at, short, read, .. } = scan;
+        Ok(Opened { log, damage, torn, torn_at, short, read })
     }
 
     /// The store as it stands.
