--- a/src/config.rs
+++ b/src/config.rs
@@ -27,8 +27,6 @@
 
 /// Clocks may be so many seconds apart where updates are signed.
 const FUDGE_S: u16 = 300;
-/// Fewer descriptors leave none for clients and calls.
-const LEAST_SOCKETS: usize = 16;
 /// How long a final answer waits for its client, if the operator says nothing.
 const KEEP_ANSWERS_S: u64 = 600;
 
@@ -474,8 +472,8 @@
             name: word("NODE_NAME", "name")?,
             state: word("NODE_STATE", "state")?.into(),
             seed: seed(json.get("seed")).ok_or("seed: not a hexadecimal number")?,
-            sockets: enough_sockets(limit("sockets", Limits::default().sockets as f64)? as usize)?,
-            store: Store::default().setup(limit("disk_mb", Limits::default().disk_mb)?)?,
+            sockets: limit("sockets", Limits::default().sockets as f64)? as usize,
+            store: Setup::new((limit("disk_mb", Limits::default().disk_mb)? * 1e6) as u64),
             deployment: settings::from_json(settings)?,
             columns: columns(settings),
             known: known.map_err(|e| format!("known: {e}"))?,
@@ -548,6 +546,9 @@
         if lists.iter().filter(|l| **l).count() != 1 {
             fault("platform, provider, dns", "one of them has to be the directory, and no more".into());
         }
+        if self.sockets < 16 {
+            fault("limits.sockets", format!("{} are too few", self.sockets));
+        }
         if let Some(brokers) = &self.brokers {
             for kind in brokers.kinds.iter().filter(|k| !kinds.contains(k)) {
                 fault("brokers.kinds", format!("settings.kinds has no '{kind}'"));
@@ -557,7 +558,6 @@
                 fault("brokers.topic", format!("'{}' is no topic", brokers.topic));
             }
         }
-        faults.extend(enough_sockets(self.sockets).err());
         faults.extend(self.door.faults(&self.deployment.classes));
         faults
     }
@@ -609,13 +609,6 @@
     Vec::new()
 }
 
-fn enough_sockets(sockets: usize) -> Result<usize, String> {
-    if sockets < LEAST_SOCKETS {
-        return Err(format!("limits.sockets: {sockets} are too few"));
-    }
-    Ok(sockets)
-}
-
 fn columns(settings: &Value) -> Vec<String> {
     let columns = settings.pointer("/stats/columns").and_then(Value::as_array);
     columns.into_iter().flatten().filter_map(|c| c.as_str().map(str::to_string)).collect()
--- a/src/core/invocation.rs
+++ b/src/core/invocation.rs
@@ -375,16 +375,8 @@
     };
     let Some(permit) = house.desk.permit(&provider) else { return Outcome::Moot.into() };
     let went = Cell::new(false);
-    // What is known under this name may have left, or listen elsewhere by now.
-    let stands = || {
-        let now = house.directory.provider(endpoint);
-        now.is_some_and(|p| {
-            p.entry.condition == Condition::Ready && p.entry.address == provider.entry.address
-        })
-    };
     let allowed = || {
-        stands()
-            && house.directory.admits(endpoint, Instant::now())
+        house.directory.admits(endpoint, Instant::now())
             && Instant::now() < deadline
             && !house.desk.is_blind()
             && house.tables.leads(envelope, provider.zone)
@@ -404,10 +396,6 @@
     let began = Cell::new(false);
     // A connection may take its time to come up: what the module saw when it chose is looked at once more.
     let go = || {
-        if began.get() {
-            // Its connection broke before the first byte, and another one took time.
-            return allowed();
-        }
         if went.get() {
             began.set(allowed() && permit.begin());
         } else if allowed() && permit.begin() {
@@ -420,17 +408,17 @@
         }
         began.get()
     };
-    let told_wait = |wait| house.directory.told_wait(&provider, Instant::now() + wait);
-    let (to, time) = (provider.clone(), timeout.min(deadline.saturating_duration_since(Instant::now())));
-    let call = InvokerCall { provider: to, envelope: &body, timeout: time, go: &go, told_wait: &told_wait };
-    let report = house.invoker.call(call).await;
+    let report = house
+        .invoker
+        .call(InvokerCall { provider: provider.clone(), envelope: &body, timeout, go: &go })
+        .await;
     permit.ended(report.outcome);
     // It may have left while the call was out: nobody else would close the connection that was just given back.
-    if !stands() {
+    if house.directory.provider(endpoint).is_none_or(|p| p.entry.condition != Condition::Ready) {
         house.invoker.close_idle(&provider);
     }
     if let Outcome::Full { wait } = report.outcome {
-        told_wait(span(wait));
+        house.directory.told_wait(&provider, Instant::now() + span(wait));
     }
     if went.get() {
         // A delivery ran, too: a process that ends before the verdict is written must not send it to another zone.
--- a/src/core/journal.rs
+++ b/src/core/journal.rs
@@ -304,18 +304,9 @@
             );
         }
         if opened.torn > 0 {
-            let (file, from) = opened.torn_at.unwrap_or_default();
-            let bytes = opened.torn;
-            log::warn!(
-                "store: {file}: {bytes} bytes from {from} on are part of a line that was not finished"
-            );
-        }
-        for file in &opened.short {
-            log::warn!("store: {file}: shorter than a segment and without a header; it holds nothing");
+            log::warn!("store: {} bytes at its end are part of a line that was not finished", opened.torn);
         }
         let accounts = replayed.accounts;
-        // Before the wall clock is read: however long this process stands still in between, no call looks younger than it is.
-        let now = Instant::now();
         let clock = Clock { now_ms: unix_ms(), newest_ms: accounts.newest_ms };
         if clock.went_back() {
             let by = clock.newest_ms - clock.now_ms;
@@ -326,6 +317,7 @@
         let needs_thread = setup.durability == Durability::Machine || setup.bodies < u64::MAX;
         let worker = needs_thread.then(Worker::start).transpose()?;
         let mut book = Book { log: opened.log, accounts, unclosed: BTreeSet::new() };
+        let now = Instant::now();
         for entry in book.accounts.open.values_mut() {
             let age = entry.account.may_have_run().and_then(|s| clock.age(s.at_ms));
             entry.ran_at = age.and_then(|age| now.checked_sub(age));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -149,11 +149,8 @@
     pub envelope: &'a Envelope,
     /// How long its answer is waited for.
     pub timeout: Duration,
-    /// Asked right before the first byte, and again where that could not be written; where it says no, nothing is sent
-    /// and the outcome is moot.
+    /// Asked right before the first byte; where it says no, nothing is sent and the outcome is moot.
     pub go: &'a dyn Fn() -> bool,
-    /// Told of a wait as soon as the provider has told it, also where the rest of its answer is spoilt.
-    pub told_wait: &'a dyn Fn(Duration),
 }
 
 /// Makes invoker calls over connections that it owns.
--- a/src/door/budget.rs
+++ b/src/door/budget.rs
@@ -1,15 +1,12 @@
 //! Who may hold how many of the process's descriptors. One budget, from the smaller of what is told and what the system
 //! allows; every part has its one holder.
 
-/// The process's own: the store's, ports, signals, the poller, the watch, notices, the one that is held back, and the
-/// connection that was just accepted.
-const OWN: usize = 19 + DESCRIPTORS;
+/// The process's own: the store's, ports, signals, the poller, the watch, notices, the one that is held back.
+const OWN: usize = 18 + DESCRIPTORS;
 use crate::store::log::DESCRIPTORS;
 
-/// For connections that are accepted and not yet placed: in the lobby.
+/// For connections that are accepted and not yet placed: in the lobby, or told that all is full.
 const LOBBY: usize = 16;
-/// For those that are told that all is full, and read to their end.
-const FAREWELLS: usize = 8;
 /// Below this the parts make no sense.
 const LEAST: usize = 16;
 
@@ -22,8 +19,6 @@
     pub clients: usize,
     /// Connections that are not yet placed.
     pub lobby: usize,
-    /// Connections that are told that there is no place.
-    pub farewells: usize,
     /// Calls that are out.
     pub calls: usize,
     /// Connections to providers that are kept for further calls.
@@ -39,13 +34,11 @@
         let all = told.min(allowed);
         let rest = all.max(LEAST).saturating_sub(OWN + updates);
         // A client cannot use what calls need, nor the other way round.
-        let clients = rest.div_ceil(3).max(1);
+        let clients = (rest / 3).max(1);
         let lobby = LOBBY.min(rest / 16);
-        let farewells = FAREWELLS.min(rest / 16);
-        let unplaced = lobby + farewells;
-        let calls = slots.min(rest.saturating_sub(clients + unplaced));
-        let kept = rest.saturating_sub(clients + unplaced + calls);
-        Budget { all, clients, lobby, farewells, calls, kept, updates }
+        let calls = slots.min(rest.saturating_sub(clients + lobby));
+        let kept = rest.saturating_sub(clients + lobby + calls);
+        Budget { all, clients, lobby, calls, kept, updates }
     }
 }
 
@@ -59,7 +52,7 @@
             for slots in [1, 8, 60, 500] {
                 for updates in [0, 8] {
                     let b = Budget::split(all, None, slots, updates);
-                    let sum = b.clients + b.lobby + b.farewells + b.calls + b.kept + b.updates + OWN;
+                    let sum = b.clients + b.lobby + b.calls + b.kept + b.updates + OWN;
                     assert!(sum <= all.max(OWN + updates + 1), "{b:?}");
                     assert!(all < 128 || (b.clients >= all / 4 && b.calls == slots.min(b.calls)), "{b:?}");
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod config;
 pub mod core;
 pub mod door;
-mod first_call;
 pub mod fleet;
 mod health;
 pub mod interface;
--- a/src/main.rs
+++ b/src/main.rs
@@ -40,7 +40,6 @@
 use raildeal::net::platform::watch::{Watch, BEAT};
 use raildeal::net::seats::{Seats, WhenFull};
 use raildeal::net::{MQTT, PLATFORM};
-use raildeal::settings;
 use raildeal::turns::Turns;
 use raildeal::{Earlier, Relay, Settings};
 use rustix::process::{getrlimit, Resource};
@@ -58,12 +57,6 @@
 const STILL_COMING: Duration = Duration::from_millis(600);
 /// From then on no call begins: those that are out need the rest of the time.
 const LAST_CALL: Duration = Duration::from_millis(2000);
-/// How often it is looked whether anybody waits for a place, when the process is to end.
-const LOBBY_LOOK: Duration = Duration::from_millis(20);
-/// Connections that are accepted then, as they came in the last moment, take no longer than this.
-const LAST_ACCEPTS: Duration = Duration::from_millis(100);
-/// Connections that still stand so long after the signal are ended, those with a part of a request in words.
-const LAST_WORD: Duration = Duration::from_millis(3200);
 /// The process ends so long after the signal, before it would be killed.
 const END: Duration = Duration::from_millis(3400);
 /// How often the sizes of tables are told, where the level of the log is debug.
@@ -369,7 +362,7 @@
     let (tended, synced, ended) = (journal.clone(), journal.clone(), journal.clone());
     let budget = budget(&config);
     let invoker = providers(&config, &budget, &wheel);
-    let relay = Relay::new(settings.clone(), config.seed).map_err(|e| settings::told(&e))?;
+    let relay = Relay::new(settings.clone(), config.seed).map_err(|e| e.to_string())?;
     let (watch, asked) = async_channel::bounded(1);
     let desk = Desk::new(relay, directory.clone(), Rc::new(Wishes { invoker: invoker.clone(), watch }));
     let zones = config.dns.as_ref().map(|d| Zones::open(&d.zone_file)).transpose()?;
@@ -437,8 +430,7 @@
         keep(&executor, async move { watch.run(asked).await });
     }
     let door = &config.door;
-    let rules = door.rules(budget.clients);
-    let seats = Seats::new(rules, budget.lobby, budget.farewells, door.when_full, config.seed);
+    let seats = Seats::new(door.rules(budget.clients), budget.lobby, door.when_full, config.seed);
     fleet.start(&Wired {
         config: &config,
         settings: &settings,
@@ -455,19 +447,18 @@
     let run = executor.clone();
     let ingress = Ingress::new(house.clone(), deployment, PLATFORM, run.clone());
     let port = sessions.clone().map(|s| Port::new(house.clone(), s, deployment, MQTT, run.clone()));
-    let (mut listening, mut updating) = (Vec::new(), None);
+    let mut listening = Vec::new();
     if let Some(listener) = platform_port {
         let clients = seats.clone().listen(listener, ingress.clone(), wheel.clone(), run.clone());
         listening.push(executor.spawn(clients));
     }
     if let Some((listener, port)) = mqtt_port.zip(port.clone()) {
-        let clients = seats.clone().listen(listener, port, wheel.clone(), run.clone());
-        listening.push(executor.spawn(clients));
+        listening.push(executor.spawn(seats.listen(listener, port, wheel.clone(), run.clone())));
     }
     if let Some(((listener, zones), signer)) = update_port.zip(zones.clone()).zip(signer) {
         let updates = Rc::new(UpdatePort { zones, desk: desk.clone(), signer, wheel: wheel.clone() });
-        let seats = Seats::new(Rules::open(UPDATERS), 1, 0, WhenFull::Queue, config.seed);
-        updating = Some(executor.spawn(seats.listen(listener, updates, wheel.clone(), run)));
+        let seats = Seats::new(Rules::open(UPDATERS), 1, WhenFull::Queue, config.seed);
+        listening.push(executor.spawn(seats.listen(listener, updates, wheel.clone(), run)));
     }
     let reloading = desk.clone();
     keep(&executor, async move {
@@ -482,38 +473,18 @@
     let finishing = async {
         ingress.wind_down();
         wheel.sleep(STILL_COMING).await;
-        drop(updating);
-        seats.stop();
         for task in listening {
-            wheel.limit(LAST_ACCEPTS, task).await;
+            task.cancel().await;
         }
-        log::info!("{name}: takes no more connections");
         ingress.end_idle();
         port.iter().for_each(|p| p.close());
-        let clients_ended = async || {
-            while !seats.is_quiet() {
-                wheel.sleep(LOBBY_LOOK).await;
-            }
-            ingress.emptied().await;
-        };
         let rest = async { wheel.sleep(LAST_CALL - STILL_COMING).await };
-        let all_ended = async {
-            // In this order: what is read is taken on, or not, before its connection ends.
-            clients_ended().await;
-            house.emptied().await;
-        };
-        rest.or(all_ended).await;
+        rest.or(house.emptied()).await;
         desk.halt();
         fleet.leave().await;
         desk.calls_ended().await;
-        clients_ended().await;
-    };
-    let last_word = async {
-        wheel.sleep(LAST_WORD).await;
-        ingress.close();
-        wheel.sleep(END - LAST_WORD).await;
     };
-    finishing.or(last_word).await;
+    finishing.or(async { wheel.sleep(END).await }).await;
     sessions.iter().for_each(|s| s.farewell());
     ended.sync_now().unwrap_or_else(|e| log::error!("store: sync: {e}"));
     earlier::ends(&config.state, unix_ms()).unwrap_or_else(|e| log::warn!("state: end not noted: {e}"));
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -17,11 +17,6 @@
 
 /// Once an answer has begun, the rest of it may take this long; then its connection is given up.
 const REST_OF_ANSWER: Duration = Duration::from_millis(300);
-/// An answer that has begun may end so much later than its attempt, however much announces it: the final answer to the
-/// client is due then, and lost half a second after.
-const OVERTIME: Duration = Duration::from_millis(100);
-/// With less time than this for its answer a call is not sent: it would run, and nobody would hear of it.
-const LEAST_TIME: Duration = Duration::from_millis(100);
 /// Most beginnings of an answer that only announce another.
 const MAX_INTERIM: usize = 32;
 /// A connection rests this long before it is used again: bytes that belong to no call show up meanwhile.
@@ -40,14 +35,6 @@
     Last,
 }
 
-/// What an answer has told so far; it stands, whatever becomes of the rest.
-pub struct Heard<'a> {
-    /// What it means, once that cannot change any more; not set in the end, the answer was spoilt.
-    pub known: Option<Report>,
-    /// Takes note of a wait that it tells, which counts from then on even if the rest is spoilt.
-    pub told_wait: &'a dyn Fn(Duration),
-}
-
 /// What a wire says in a call.
 pub trait Dialect {
     /// Greets a provider on a new connection. Gives how long the connection may stand idle, if the other side says.
@@ -56,8 +43,13 @@
     /// The bytes of a call, for one write.
     fn request(&self, provider: &Provider, envelope: &Envelope, left: Duration) -> io::Result<Vec<u8>>;
 
-    /// Reads an answer that has begun, and notes what is heard as soon as it is.
-    fn answer(&self, stream: &mut Stream, heard: &mut Heard<'_>) -> impl Future<Output = io::Result<Read>>;
+    /// Reads an answer that has begun. `known` is set as soon as its meaning cannot change any more, whatever becomes of
+    /// the rest; where it is not set in the end, the answer was spoilt.
+    fn answer(
+        &self,
+        stream: &mut Stream,
+        known: &mut Option<Report>,
+    ) -> impl Future<Output = io::Result<Read>>;
 
     /// What is said on an idle connection before it is closed, if anything.
     fn farewell(&self) -> &'static [u8] {
@@ -70,8 +62,6 @@
     /// Idle this long, it is closed here.
     idle_most: Duration,
     since: Instant,
-    /// It has carried a call before.
-    used: bool,
 }
 
 impl Link {
@@ -159,7 +149,7 @@
             }
         }
         let mut idle = self.idle.borrow_mut();
-        idle.entry(provider).or_default().push(Link { since: Instant::now(), used: true, ..link });
+        idle.entry(provider).or_default().push(Link { since: Instant::now(), ..link });
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<Link> {
@@ -170,98 +160,58 @@
         };
         let told = self.dialect.greet(&mut stream).await?;
         let idle_most = told.map_or(self.idle_most, |t| self.idle_most.min(t));
-        Ok(Link { stream, idle_most, since: Instant::now(), used: false })
-    }
-
-    /// A connection for a call: one that is kept, or a new one.
-    async fn link(&self, provider: &Provider, deadline: Instant) -> Result<Link, Outcome> {
-        if let Some(link) = self.kept(provider.endpoint).await {
-            return Ok(link);
-        }
-        let address = provider.entry.address;
-        match self.wheel.limit(self.connect_timeout.min(left(deadline)), self.connect(address)).await {
-            Some(Ok(link)) => Ok(link),
-            failed => {
-                log::debug!("calls: {address}: {:?}", failed.and_then(Result::err));
-                Err(Outcome::ConnectFailed)
-            }
-        }
+        Ok(Link { stream, idle_most, since: Instant::now() })
     }
 
-    /// Sends a call and gives the connection that it went by, or how it ended without having run. A kept connection that
-    /// ends before the call's last byte has carried no call: it goes by another one, within the same attempt.
-    async fn send(&self, call: &InvokerCall<'_>, deadline: Instant) -> Result<Link, Outcome> {
-        let InvokerCall { provider, envelope, go, .. } = call;
-        loop {
-            let mut link = self.link(provider, deadline).await?;
-            let request = self.dialect.request(provider, envelope, left(deadline));
-            let request = request.inspect_err(|e| log::error!("calls: {} cannot be said: {e}", envelope.id));
-            let bytes = match request {
-                Ok(bytes) if left(deadline) >= LEAST_TIME && go() => bytes,
-                _ => {
-                    self.keep(provider.endpoint, link);
-                    return Err(Outcome::Moot);
+    async fn exchange(&self, call: InvokerCall<'_>) -> Report {
+        let InvokerCall { provider, envelope, timeout, go } = call;
+        let (address, deadline) = (provider.entry.address, Instant::now() + timeout);
+        let left = || deadline.saturating_duration_since(Instant::now());
+        let mut link = match self.kept(provider.endpoint).await {
+            Some(link) => link,
+            None => match self.wheel.limit(self.connect_timeout.min(left()), self.connect(address)).await {
+                Some(Ok(link)) => link,
+                failed => {
+                    log::debug!("calls: {address}: {:?}", failed.and_then(Result::err));
+                    return Outcome::ConnectFailed.into();
                 }
-            };
-            // Whatever has come on it by now is no answer to this call.
-            if link.used && !link.stream.is_quiet() {
-                continue;
-            }
-            if link.stream.has_ended() {
-                return Err(Outcome::ConnectFailed);
-            }
-            match self.wheel.limit(left(deadline), link.stream.send(&bytes)).await {
-                Some(Ok(())) => return Ok(link),
-                Some(Err(_)) if link.used => continue,
-                // Broken or stuck before its last byte: it never ran.
-                _ => return Err(Outcome::ConnectFailed),
+            },
+        };
+        let request = self.dialect.request(&provider, envelope, left());
+        let bytes = match request.inspect_err(|e| log::error!("calls: {} cannot be said: {e}", envelope.id)) {
+            Ok(bytes) if go() => bytes,
+            _ => {
+                self.keep(provider.endpoint, link);
+                return Outcome::Moot.into();
             }
+        };
+        if !matches!(self.wheel.limit(left(), link.stream.send(&bytes)).await, Some(Ok(()))) {
+            // Broken or stuck before its last byte: it never ran.
+            return Outcome::ConnectFailed.into();
         }
-    }
-
-    /// Waits for the answer to a call that was sent.
-    async fn hear(&self, call: &InvokerCall<'_>, mut link: Link, deadline: Instant) -> Report {
-        let mut heard = Heard { known: None, told_wait: call.told_wait };
+        let mut known = None;
         for _ in 0..MAX_INTERIM {
             let begins = async { Ok(!link.stream.buf.is_empty() || link.stream.fill().await?) };
-            match self.wheel.limit(left(deadline), begins).await {
+            match self.wheel.limit(left(), begins).await {
                 None => return Outcome::Timeout.into(),
                 Some(Ok(true)) => {}
                 Some(end @ (Ok(false) | Err::<_, io::Error>(_))) => {
-                    log::debug!("calls: {} ended after the call was sent: {end:?}", call.provider.entry.uid);
+                    log::debug!("calls: {} ended after the call was sent: {end:?}", provider.entry.uid);
                     return Outcome::Reset.into();
                 }
             }
-            let rest = self.dialect.answer(&mut link.stream, &mut heard);
-            let time = REST_OF_ANSWER.min(left(deadline + OVERTIME));
-            match self.wheel.limit(time, rest).await {
+            let rest = self.dialect.answer(&mut link.stream, &mut known);
+            match self.wheel.limit(REST_OF_ANSWER, rest).await {
                 Some(Ok(Read::Interim)) => continue,
-                Some(Ok(Read::Whole)) if link.stream.buf.is_empty() => {
-                    self.keep(call.provider.endpoint, link)
-                }
+                Some(Ok(Read::Whole)) if link.stream.buf.is_empty() => self.keep(provider.endpoint, link),
                 Some(Ok(_)) => {}
-                spoilt => {
-                    log::debug!("calls: {} answered what is no answer: {spoilt:?}", call.provider.entry.uid);
-                }
+                spoilt => log::debug!("calls: {} answered what is no answer: {spoilt:?}", provider.entry.uid),
             }
             break;
         }
         // Answered, if not to be read: the provider is there, and may have run it.
-        heard.known.unwrap_or(Outcome::Error.into())
+        known.unwrap_or(Outcome::Error.into())
     }
-
-    async fn exchange(&self, call: InvokerCall<'_>) -> Report {
-        let deadline = Instant::now() + call.timeout;
-        match self.send(&call, deadline).await {
-            Ok(link) => self.hear(&call, link, deadline).await,
-            Err(unsent) => unsent.into(),
-        }
-    }
-}
-
-/// Time up to a deadline.
-fn left(deadline: Instant) -> Duration {
-    deadline.saturating_duration_since(Instant::now())
 }
 
 impl<D: Dialect> Invoker for Calls<D> {
--- a/src/net/mqtt/brokers.rs
+++ b/src/net/mqtt/brokers.rs
@@ -2,8 +2,8 @@
 
 use super::packets::{encode, property, read, user};
 use crate::core::directory::Provider;
-use crate::core::Envelope;
-use crate::net::calls::{Dialect, Heard, Read};
+use crate::core::{Envelope, Report};
+use crate::net::calls::{Dialect, Read};
 use crate::net::stream::Stream;
 use crate::{Outcome, Time};
 use mqtt_proto::v5::{
@@ -86,10 +86,10 @@
         encode(&Packet::Publish(publish))
     }
 
-    async fn answer(&self, stream: &mut Stream, heard: &mut Heard<'_>) -> io::Result<Read> {
+    async fn answer(&self, stream: &mut Stream, known: &mut Option<Report>) -> io::Result<Read> {
         match read(stream).await? {
             Some(Packet::Puback(ack)) if ack.pid.value() == PID => {
-                heard.known = Some(report(&ack).into());
+                *known = Some(report(&ack).into());
                 Ok(Read::Whole)
             }
             other => Err(io::Error::other(format!("no PUBACK but {other:?}"))),
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -170,26 +170,10 @@
     }
     let old = head.version == Some(0);
     let keep_alive = !headers.says("connection", "close") && !old;
-    let (method, path) = (head.method.unwrap_or(""), origin_form(head.path.unwrap_or("")));
-    let (method, path) = (method.to_string(), path.to_string());
+    let (method, path) = (head.method.unwrap_or("").to_string(), head.path.unwrap_or("").to_string());
     Ok(Some((Request { method, path, headers, length, keep_alive }, len)))
 }
 
-/// The path of a request's target, where clients name scheme and host before it, too (RFC 9112, 3.2.2).
-fn origin_form(target: &str) -> &str {
-    let Some((scheme, rest)) = target.split_once("://") else { return target };
-    if !scheme.eq_ignore_ascii_case("http") && !scheme.eq_ignore_ascii_case("https") {
-        return target;
-    }
-    rest.find(['/', '?']).map_or("/", |at| &rest[at..])
-}
-
-/// Drops empty lines before a request: some clients end a body with one (RFC 9112, 2.2).
-pub fn skip_empty_lines(bytes: &mut Vec<u8>) {
-    let empty = bytes.iter().take_while(|b| b"\r\n".contains(b)).count();
-    bytes.drain(..empty);
-}
-
 /// The status that the first line of an answer says, whatever may follow it; nothing while that line is not whole, or
 /// where it says none.
 pub fn status(bytes: &[u8]) -> Option<u16> {
@@ -222,10 +206,7 @@
         None => Body::ToEnd,
     };
     let old = head.version == Some(0);
-    // Told in two ways, or in one that is not known, the end of the body may be read elsewhere than it was meant.
-    let coded = headers.get("transfer-encoding").is_some();
-    let clear = body != Body::ToEnd && !(coded && (body != Body::Chunked || headers.length()?.is_some()));
-    let keep_alive = clear && !headers.says("connection", "close") && !old;
+    let keep_alive = body != Body::ToEnd && !headers.says("connection", "close") && !old;
     Ok(Some((Response { status, headers, body, keep_alive }, len)))
 }
 
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -2,6 +2,7 @@
 
 use super::http::{self, Bad, Request};
 use crate::core::invocation::{self, House, Reply};
+use crate::core::wheel::Wheel;
 use crate::core::{is_word, Envelope, Local};
 use crate::door::lobby::Comes;
 use crate::door::places::Why;
@@ -9,10 +10,10 @@
 use crate::net::stream::Stream;
 use crate::settings::{Deployment, Tenants, UnknownTenant};
 use crate::NO_TENANT;
-use async_channel::{Receiver, SendError, Sender};
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::{future, FutureExt};
+use futures_lite::FutureExt;
 use std::cell::Cell;
 use std::io;
 use std::net::TcpStream;
@@ -21,17 +22,12 @@
 
 /// A connection without a request is closed after this time.
 const IDLE: Duration = Duration::from_secs(2);
-/// A request must be whole this long after its first byte.
+/// A request must be whole this long after its connection came, or after the answer before it.
 const SLOW_REQUEST: Duration = Duration::from_millis(2500);
 /// A client that does not take its answer in this time is cut off.
 const STUCK: Duration = Duration::from_secs(1);
 /// How long a client that broke the protocol may go on sending before its connection is closed.
 const PARTING: Duration = Duration::from_secs(2);
-/// How long a connection that this side ended is read to its end: what is on its way by then is dropped and not answered by
-/// a reset. Clients that wait for an answer wait 400 ms.
-const LINGER: Duration = Duration::from_millis(500);
-/// How often it is looked whether connections have ended, when the process is to end.
-const EMPTIED_LOOK: Duration = Duration::from_millis(20);
 
 /// A request that is answered with an error and ends its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -40,9 +36,6 @@
     Http(#[from] Bad),
     #[error("too slow")]
     Slow,
-    /// Its place or the process goes.
-    #[error("ended before its request was whole")]
-    CutShort,
     #[error("no such page")]
     NoPage,
     #[error("messages are handed in by POST")]
@@ -70,7 +63,6 @@
         match self {
             Refusal::Http(bad) => bad.status(),
             Refusal::Slow => 408,
-            Refusal::CutShort => 503,
             Refusal::NoPage | Refusal::UnknownClass => 404,
             Refusal::NoPost => 405,
             _ => 400,
@@ -96,11 +88,7 @@
     executor: Rc<LocalExecutor<'static>>,
     /// Closed when connections are to end between requests.
     ending: (Sender<()>, Receiver<()>),
-    /// Closed when they are to end wherever they are.
-    closing: (Sender<()>, Receiver<()>),
     last_answers: Cell<bool>,
-    /// Held by each connection.
-    open: Rc<()>,
 }
 
 impl Ingress {
@@ -118,9 +106,7 @@
             front,
             executor,
             ending: async_channel::bounded(1),
-            closing: async_channel::bounded(1),
             last_answers: Cell::new(false),
-            open: Rc::default(),
         })
     }
 
@@ -129,103 +115,50 @@
         self.last_answers.set(true);
     }
 
-    /// Ends connections that carry no request. New ones are given time for their first, which may be on its way.
+    /// Ends connections that carry no request.
     pub fn end_idle(&self) {
         self.ending.1.close();
     }
 
-    /// Ends all connections but those that are owed an answer; whose request is not whole hears that it is refused.
-    pub fn close(&self) {
-        self.closing.1.close();
-    }
-
-    /// Waits until all connections have ended.
-    pub async fn emptied(&self) {
-        while Rc::strong_count(&self.open) > 1 {
-            self.house.wheel.sleep(EMPTIED_LOOK).await;
-        }
-    }
-
-    /// Waits for the first byte of a request. False where the other side ends, or this one is to, before it comes.
-    async fn begins(&self, stream: &mut Stream, fresh: bool) -> bool {
-        let more = async {
-            loop {
-                http::skip_empty_lines(&mut stream.buf);
-                if !stream.buf.is_empty() {
-                    return true;
+    /// Reads one request; nothing where the connection ended before one began.
+    async fn read(&self, stream: &mut Stream, seat: &Seat) -> Result<Option<(Request, Vec<u8>)>, Refusal> {
+        let whole = async {
+            if stream.buf.is_empty() {
+                let more = async { stream.fill().await.unwrap_or(false) };
+                let ending = async {
+                    let _ = self.ending.1.recv().await;
+                    false
+                };
+                // Reading comes first: what has arrived is answered.
+                let waited = self.house.wheel.limit(IDLE, more.or(ending)).await;
+                if waited != Some(true) {
+                    return Ok(None);
                 }
-                if !stream.fill().await.unwrap_or(false) {
-                    return false;
+            }
+            seat.begun();
+            let (request, len) = loop {
+                if let Some(head) = http::request(&stream.buf)? {
+                    break head;
                 }
-                // Whoever sends nothing but empty lines must not keep the others from their turn.
-                if stream.buf.iter().all(|b| b"\r\n".contains(b)) {
-                    future::yield_now().await;
+                if !stream.fill().await.unwrap_or(false) {
+                    return Ok(None);
                 }
+            };
+            let waits = request.headers.get("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
+            if waits && stream.buf.len() < len + request.length {
+                let _ = stream.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             }
-        };
-        let ending = async {
-            let end = if fresh { &self.closing.1 } else { &self.ending.1 };
-            let _ = end.recv().await;
-            false
-        };
-        // Reading comes first: what has arrived is answered.
-        self.house.wheel.limit(IDLE, more.or(ending)).await == Some(true)
-    }
-
-    /// Reads one request that has begun; nothing where the other side ends before its last byte.
-    async fn whole(&self, stream: &mut Stream) -> Result<Option<(Request, Vec<u8>)>, Refusal> {
-        let (request, len) = loop {
-            if let Some(head) = http::request(&stream.buf)? {
-                break head;
-            }
-            if !stream.fill().await.unwrap_or(false) {
-                return Ok(None);
-            }
-        };
-        let waits = request.headers.get("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
-        if waits && stream.buf.len() < len + request.length {
-            let _ = stream.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        }
-        while stream.buf.len() < len + request.length {
-            if !stream.fill().await.unwrap_or(false) {
-                return Ok(None);
+            while stream.buf.len() < len + request.length {
+                if !stream.fill().await.unwrap_or(false) {
+                    return Ok(None);
+                }
             }
-        }
-        let body = stream.buf[len..len + request.length].to_vec();
-        stream.buf.drain(..len + request.length);
-        Ok(Some((request, body)))
-    }
-
-    /// Reads one request; nothing where the connection ends before one is whole.
-    async fn read(
-        &self,
-        stream: &mut Stream,
-        seat: &Seat,
-        fresh: bool,
-    ) -> Result<Option<(Request, Vec<u8>)>, Refusal> {
-        if !self.begins(stream, fresh).await {
-            return Ok(None);
-        }
-        seat.begun();
-        let cut_short = async {
-            let closing = async {
-                let _ = self.closing.1.recv().await;
-            };
-            closing.or(seat.gone()).await;
-            Err(Refusal::CutShort)
-        };
-        let whole = self.whole(stream).or(cut_short);
-        let read = self.house.wheel.limit(SLOW_REQUEST, whole).await.unwrap_or(Err(Refusal::Slow))?;
-        if read.is_some() {
+            let body = stream.buf[len..len + request.length].to_vec();
+            stream.buf.drain(..len + request.length);
             seat.busy();
-        }
-        Ok(read)
-    }
-
-    /// Ends a connection on which nothing is owed. What comes on it from now on counts as not read: its client sees the end
-    /// and sends it again on another one.
-    async fn linger(&self, stream: Stream) {
-        self.house.wheel.limit(LINGER, stream.part()).await;
+            Ok(Some((request, body)))
+        };
+        self.house.wheel.limit(SLOW_REQUEST, whole).await.unwrap_or(Err(Refusal::Slow))
     }
 
     /// The message that a request hands in, with the time left; nothing for a question whether this sender is up.
@@ -286,19 +219,19 @@
     }
 
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
-        let open = self.open.clone();
         let Ok(mut stream) = Stream::new(socket) else { return };
         let client = seat.client();
-        // Whether nothing was answered on it yet, and whether a message was taken on over it.
-        let (mut fresh, mut useful) = (true, false);
+        // Whether a message was taken on over it.
+        let mut useful = false;
         loop {
-            let read = self.read(&mut stream, &seat, fresh).await.and_then(|read| {
+            let read = self.read(&mut stream, &seat).await.and_then(|read| {
                 let Some((request, body)) = read else { return Ok(None) };
-                Ok(Some((self.message(&request, body)?, request.keep_alive)))
+                let keep = request.keep_alive && !self.last_answers.get();
+                Ok(Some((self.message(&request, body)?, keep)))
             });
             let (message, keep) = match read {
                 Ok(Some(read)) => read,
-                Ok(None) => return self.linger(stream).await,
+                Ok(None) => return,
                 Err(refusal) => {
                     log::debug!("ingress: {} {refusal}", refusal.status());
                     seat.counts(&format!("requests refused ({refusal})"));
@@ -314,7 +247,7 @@
                 }
             };
             let (sender, back) = async_channel::bounded(1);
-            let answer = Answer { stream, keep, back: sender, port: self.clone(), open: open.clone() };
+            let answer = Answer { stream, keep, back: sender, wheel: self.house.wheel.clone() };
             match message {
                 Some((envelope, left)) => {
                     if envelope.tenant == NO_TENANT {
@@ -331,18 +264,15 @@
                 }
                 None => drop(answer.give(200, "").await),
             }
-            let Ok(given) = back.recv().await else { return };
-            // Of many requests at once, the next one is for after the others' turn.
-            future::yield_now().await;
-            (stream, fresh, useful) = (given.stream, false, useful || given.status == 202);
+            match back.recv().await {
+                Ok((again, status)) => (stream, useful) = (again, useful || status == 202),
+                Err(_) => return,
+            }
             if useful {
                 seat.kept();
             } else {
                 seat.resting();
             }
-            if !given.keep {
-                return self.linger(stream).await;
-            }
         }
     }
 }
@@ -365,39 +295,22 @@
     items.find(|(k, _)| *k == "dest")?.1.parse().ok()
 }
 
-/// The answer owed on a connection. Given, it hands the connection back; dropped, it closes it.
+/// The answer owed on a connection. Given, it hands the connection back, with its status; dropped, it closes it.
 struct Answer {
     stream: Stream,
-    /// Its client would go on with it.
-    keep: bool,
-    back: Sender<Given>,
-    port: Rc<Ingress>,
-    /// The connection is open for as long as it is owed something.
-    open: Rc<()>,
-}
-
-/// A connection that was answered.
-struct Given {
-    stream: Stream,
-    status: u16,
-    /// The answer was not its last.
     keep: bool,
+    back: Sender<(Stream, u16)>,
+    wheel: Rc<Wheel>,
 }
 
 impl Answer {
     async fn give(mut self, status: u16, headers: &str) -> io::Result<()> {
-        // What came behind the request was read, or is about to be: it is answered too.
-        let last = self.port.last_answers.get() && !self.stream.has_more();
-        let keep = self.keep && !last;
-        let head = head(status, headers, keep);
-        let sent = self.port.house.wheel.limit(STUCK, self.stream.send(head.as_bytes())).await;
+        let head = head(status, headers, self.keep);
+        let sent = self.wheel.limit(STUCK, self.stream.send(head.as_bytes())).await;
         sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
-        let given = Given { stream: self.stream, status, keep };
-        if let Err(SendError(given)) = self.back.send(given).await {
-            // Its place went to another meanwhile.
-            given.stream.part_at_once();
+        if self.keep {
+            let _ = self.back.send((self.stream, status)).await;
         }
-        drop(self.open);
         Ok(())
     }
 }
--- a/src/net/platform/providers.rs
+++ b/src/net/platform/providers.rs
@@ -2,8 +2,8 @@
 
 use super::http::{self, Body, Response};
 use crate::core::directory::Provider;
-use crate::core::{span, Envelope, Report, MAX_BODY};
-use crate::net::calls::{Dialect, Heard, Read};
+use crate::core::{Envelope, Report, MAX_BODY};
+use crate::net::calls::{Dialect, Read};
 use crate::net::stream::Stream;
 use crate::{Outcome, Time};
 use std::collections::HashMap;
@@ -34,11 +34,11 @@
         Ok([head.as_bytes(), &envelope.body].concat())
     }
 
-    async fn answer(&self, stream: &mut Stream, heard: &mut Heard<'_>) -> io::Result<Read> {
+    async fn answer(&self, stream: &mut Stream, known: &mut Option<Report>) -> io::Result<Read> {
         let answer = loop {
             // A first line with 200 is true, whatever becomes of what follows it.
             if http::status(&stream.buf) == Some(200) {
-                heard.known = Some(Outcome::Ok.into());
+                *known = Some(Outcome::Ok.into());
             }
             match http::response(&stream.buf)? {
                 Some((answer, len)) => {
@@ -54,18 +54,15 @@
         }
         let meaning = report(&answer, &self.columns);
         if meaning.outcome == Outcome::Ok || answer.body == Body::ToEnd {
-            heard.known = Some(meaning);
+            *known = Some(meaning);
             if !answer.keep_alive {
                 return Ok(Read::Last);
             }
             http::read_body(stream, answer.body, MAX_BODY).await?;
         } else {
-            if let Outcome::Full { wait: wait @ 1.. } = meaning.outcome {
-                (heard.told_wait)(span(wait));
-            }
             // Any other answer counts once it is whole: one that is cut short is spoilt, and its message may have run.
             http::read_body(stream, answer.body, MAX_BODY).await?;
-            heard.known = Some(meaning);
+            *known = Some(meaning);
         }
         Ok(if answer.keep_alive { Read::Whole } else { Read::Last })
     }
--- a/src/net/seats.rs
+++ b/src/net/seats.rs
@@ -9,7 +9,6 @@
 use crate::core::wheel::Wheel;
 use crate::door::lobby::{Comes, Lobby, Rank};
 use crate::door::places::{Places, Rules, Seating, Use, Why};
-use crate::net::stream::farewell;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -19,7 +18,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io;
+use std::io::{self, Write};
 use std::net::{IpAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,8 +29,8 @@
 const LOOK: Duration = Duration::from_millis(10);
 /// What has waited in the lobby for so long is told that all is full.
 const LOBBY: Duration = Duration::from_millis(250);
-/// How long a connection may take that is told so and read to its end.
-const FAREWELL: Duration = Duration::from_millis(100);
+/// Connections that are told so at once, and how long each may take over it. Beyond them it is said without listening.
+const FAREWELLS: (usize, Duration) = (8, Duration::from_millis(100));
 /// When those who find no place should come back, in the mean.
 const COME_BACK: Duration = Duration::from_millis(500);
 /// So much of what a connection brings is looked at before it has a place: a usual request or greeting.
@@ -87,8 +86,6 @@
     waiting: RefCell<BTreeMap<u64, Waits>>,
     farewells: Count,
     when_full: WhenFull,
-    /// Closed when nobody is to be accepted any more.
-    stopping: (Sender<()>, Receiver<()>),
     rng: RefCell<fastrand::Rng>,
     /// Given up for a moment when there is no other descriptor to accept with.
     held_back: RefCell<Option<File>>,
@@ -200,9 +197,8 @@
 }
 
 impl Seats {
-    /// Places by these rules, with so many at most in the lobby, and so many that are told at one time that there is no
-    /// place and read to their end. Beyond these it is said without waiting.
-    pub fn new(rules: Rules, lobby: usize, farewells: usize, when_full: WhenFull, seed: u64) -> Rc<Self> {
+    /// Places by these rules, with so many in the lobby at most.
+    pub fn new(rules: Rules, lobby: usize, when_full: WhenFull, seed: u64) -> Rc<Self> {
         Rc::new(Seats {
             places: RefCell::new(Places::new(rules)),
             leave: RefCell::default(),
@@ -211,9 +207,8 @@
             start: Instant::now(),
             lobby: RefCell::new(Lobby::new(lobby)),
             waiting: RefCell::default(),
-            farewells: Count::new(farewells),
+            farewells: Count::new(FAREWELLS.0),
             when_full,
-            stopping: async_channel::bounded(1),
             rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             held_back: RefCell::new(File::open("/dev/null").ok()),
             told: RefCell::default(),
@@ -226,17 +221,7 @@
         self.freed.notify(usize::MAX);
     }
 
-    /// Ports accept whoever has connected by now, and then nobody any more.
-    pub fn stop(&self) {
-        self.stopping.1.close();
-    }
-
-    /// Whether nobody waits for a place, or is being told that there is none.
-    pub fn is_quiet(&self) -> bool {
-        self.lobby.borrow().is_empty() && self.farewells.now.get() == 0
-    }
-
-    /// Serves each connection that comes to a port, until ports are to stop.
+    /// Serves each connection that comes to a port, for ever.
     pub async fn listen<S: Serve + 'static>(
         self: Rc<Self>,
         listener: Async<TcpListener>,
@@ -254,16 +239,8 @@
                 let left = self.left.listen();
                 wheel.limit(LOOK, left).await;
             }
-            let stopped = async {
-                let _ = self.stopping.1.recv().await;
-                None
-            };
-            // Accepting comes first: a listener that is closed resets those who have connected and were not accepted.
-            let Some(accepted) = async { Some(listener.accept().await) }.or(stopped).await else { return };
-            match accepted {
+            match listener.accept().await {
                 Ok((socket, from)) => {
-                    // A word that the system holds back is lost with a close.
-                    let _ = socket.get_ref().set_nodelay(true);
                     hall.arrive(socket, from.ip());
                     // One in a turn: what came with it is read, and others go on, before the next.
                     future::yield_now().await;
@@ -344,9 +321,9 @@
         let accepted = listener.get_ref().accept();
         if let Ok((socket, _)) = &accepted {
             let wait = self.refused("no descriptor", COME_BACK);
-            if socket.set_nonblocking(true).is_ok() {
-                farewell(socket, &port.full_at_once(wait));
-            }
+            let _ = socket
+                .set_nonblocking(true)
+                .and_then(|()| (&*socket).write(&port.full_at_once(wait)).map(drop));
         }
         let done = accepted.is_ok();
         drop(accepted);
@@ -532,7 +509,7 @@
                 let wait = self.seats.refused(&why.to_string(), wait);
                 let (port, wheel) = (self.port.clone(), self.wheel.clone());
                 let told = async move {
-                    wheel.limit(FAREWELL, port.full(socket, why, wait)).await;
+                    wheel.limit(FAREWELLS.1, port.full(socket, why, wait)).await;
                     drop(parting);
                 };
                 self.executor.spawn(told).detach();
@@ -544,7 +521,7 @@
     /// The same in one write, without listening.
     fn tell(&self, socket: &Async<TcpStream>, why: Why, wait: Duration) {
         let wait = self.seats.refused(&why.to_string(), wait);
-        farewell(socket.get_ref(), &self.port.full_at_once(wait));
+        let _ = socket.get_ref().write(&self.port.full_at_once(wait));
     }
 }
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -4,15 +4,13 @@
 use async_io::Async;
 use async_lock::Mutex;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Most bytes read and dropped on a connection that is to close.
 const LEFTOVERS: usize = 64 << 20;
-/// The same where the close is not waited for: the longest request, and what goes with it.
-const LEFTOVERS_AT_ONCE: usize = 128 * 1024;
 
 /// One connection.
 pub struct Stream {
@@ -73,24 +71,6 @@
         }
     }
 
-    /// Whether the other side has ended the connection, with nothing left to be read.
-    pub fn has_ended(&self) -> bool {
-        match self.socket.get_ref().peek(&mut [0]) {
-            Ok(n) => n == 0,
-            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
-        }
-    }
-
-    /// The same without waiting: only what has come by now is dropped.
-    pub fn part_at_once(self) {
-        farewell(self.socket.get_ref(), b"");
-    }
-
-    /// Whether more has come than was used, read or not.
-    pub fn has_more(&self) -> bool {
-        !self.buf.is_empty() || matches!(self.socket.get_ref().peek(&mut [0]), Ok(1..))
-    }
-
     /// Whether an idle connection can be used: still open, and with nothing on it that nobody asked for.
     pub fn is_quiet(&self) -> bool {
         let unread = self.socket.get_ref().peek(&mut [0]);
@@ -98,21 +78,6 @@
     }
 }
 
-/// Writes a last word to a socket that does not block, if it is taken at once, ends what this side sends, and drops what
-/// has come: a close over unread bytes resets the connection, and the word may be lost with it.
-pub fn farewell(mut socket: &TcpStream, word: &[u8]) {
-    // Held back for more to send with it, the word would be lost as well.
-    let _ = socket.set_nodelay(true);
-    if !word.is_empty() {
-        let _ = socket.write(word);
-    }
-    let _ = socket.shutdown(Shutdown::Write);
-    let (mut chunk, mut left) = ([0; 16 * 1024], LEFTOVERS_AT_ONCE);
-    while let (1.., Ok(n @ 1..)) = (left, socket.read(&mut chunk)) {
-        left = left.saturating_sub(n);
-    }
-}
-
 /// Writes to a connection that another hand reads from.
 pub struct Writer {
     socket: Rc<Async<TcpStream>>,
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -153,11 +153,10 @@
         self.ahead_from = self.ahead_from.max(now + turn);
     }
 
-    /// A call is sent. One that did not wait for the pace leaves no debt to those that do.
-    pub fn spend(&mut self, owed: bool) {
+    /// A call is sent.
+    pub fn spend(&mut self) {
         if self.pace.is_finite() {
-            let least = if owed { self.tokens.min(0.0) } else { f64::NEG_INFINITY };
-            self.tokens = (self.tokens - 1.0).max(least);
+            self.tokens -= 1.0;
         }
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,8 +37,6 @@
 const LOG_LINES: u32 = 150;
 /// Time kept for the answer to travel: a message with less left is given up.
 const LAST_CALL: Time = 250 * MS;
-/// Urgency of what goes before all others of its line, above any worth.
-const GO_FIRST: f64 = 100.0;
 /// How often a sender that counts as told of what it does not know looks whether it still does.
 const BLIND_LOOK: Time = 50 * MS;
 
@@ -126,8 +124,7 @@
                 Event::Arrived(m) => self.arrived(now, *m, Held::default()),
                 Event::Resumed { message, past } => {
                     self.took_up = true;
-                    let past = Held::resumed(now, past, message.ttl, self.random.draw());
-                    self.arrived(now, *message, past);
+                    self.arrived(now, *message, Held::resumed(now, past));
                 }
                 Event::Ended { id, attempt, outcome, took, finished, report } => {
                     self.ended(now, (*id, *attempt), *outcome, *took, report);
@@ -303,8 +300,7 @@
             let Some(&dest) = self.waiting.iter().max_by_key(|d| self.dests[d].line.len()) else { return };
             let drain = self.drain_time(now, dest);
             let line = self.dests[&dest].line.iter();
-            let held = line.map(|id| (id, &self.held[id])).filter(|(_, h)| !h.is_owed_first_call());
-            let worst = held.filter(|(_, h)| !h.out && self.may(h, now).1).map(|(id, _)| id);
+            let worst = line.filter(|id| !self.held[id].out && self.may(&self.held[id], now).1);
             let worst = worst.map(|id| (self.worth_at(&self.held[id], now + drain / 2), *id));
             let Some((_, id)) = worst.min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))) else { return };
             self.end(now, id, drain);
@@ -677,7 +673,6 @@
         zone: Option<u16>,
         safe: bool,
         way: Option<Way>,
-        owed: bool,
     ) -> Result<(Endpoint, bool), Time> {
         let (mut best, mut later): (Option<Choice>, _) = (None, Time::MAX);
         let seen = self.dests[&dest].hosts.iter().map(|e| &self.hosts[e]).filter(|h| h.base > 0.0);
@@ -702,7 +697,7 @@
             gate.open(now, part, part.map_or(draw, |p| p.saved(draw)), parts, clumped);
             let (known, refusals) = (gate.known(now), f64::from(gate.refusals));
             gate.refill(now);
-            let mut from = if owed { gate.until() } else { gate.next(now) };
+            let mut from = gate.next(now);
             if budget < 1.0 {
                 from = from.max(now + MS + secs((1.0 - budget) / rate));
             }
@@ -752,10 +747,6 @@
             if h.not_before > now {
                 later = later.min(h.not_before);
             }
-            let due = h.is_first_call_due(now);
-            if let Some(at) = h.first_call_due.filter(|_| !due && h.is_owed_first_call()) {
-                later = later.min(at);
-            }
             if !self.may(h, now).0 || h.not_before > now {
                 continue;
             }
@@ -767,10 +758,7 @@
                     continue;
                 }
             }
-            // What does not wait for the pace must not stand behind what does.
-            let first = if due { 2.0 * GO_FIRST } else { 0.0 };
-            let again = if h.refused { GO_FIRST } else { 0.0 };
-            list.push((self.urgency(h, now, horizon) + first + again, id));
+            list.push((self.urgency(h, now, horizon) + if h.refused { 100.0 } else { 0.0 }, id));
         }
         list.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         (list, later)
@@ -836,10 +824,10 @@
             h.ran.map(|r| r.1).filter(|_| c.scope == DedupScope::Zone && c.effect == Effect::Token)
         };
         let safe = class.effect != Effect::SideEffect;
-        let (zone, owed) = (bound(h, class), h.is_first_call_due(now));
+        let zone = bound(h, class);
         let routes = self.routes.clone();
         let way = self.way(&routes, &h.m);
-        let (e, trial) = match self.choose(now, dest, zone, safe, way, owed) {
+        let (e, trial) = match self.choose(now, dest, zone, safe, way) {
             Ok(to) => to,
             Err(later) => {
                 self.look_again(dest, later);
@@ -888,7 +876,7 @@
             g.budget -= weight;
         }
         let again = g.refusals > 0;
-        g.spend(owed);
+        g.spend();
         self.calls.insert(
             call,
             Call { left: ids.len() as u32, dest, host: e, sent: now, counted: false, again, trial, idle },
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,9 +1,7 @@
 //! Reads the settings that a relay is given at its start, whether as path=value lines or as nested JSON with the same
 //! names. Unknown keys are skipped; no decision is made here.
 
-use crate::{
-    Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, SettingsError, Tenant, Time, NO_TENANT,
-};
+use crate::{Class, Decay, DedupScope, Effect, Kind, ListedRates, Settings, Tenant, Time, NO_TENANT};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -113,18 +111,6 @@
     name.replace([' ', ','], "_")
 }
 
-/// Tells a setting that no relay can work by, by the name that the page of settings has for it.
-pub fn told(fault: &SettingsError) -> String {
-    let name = match fault.setting {
-        "classes" => "categories",
-        "classes.deadline" => "categories.deadline",
-        "slots" => "familyInfo.maxCalls",
-        "room" => "limits.openCap",
-        other => other,
-    };
-    format!("setting {name} ({}): {}", fault.setting, fault.problem)
-}
-
 struct Env(BTreeMap<String, String>);
 
 impl Env {
@@ -197,10 +183,6 @@
     let names = |list| env.items(list, |p| Ok(env.word(&format!("{p}.name")).unwrap_or("").to_string()));
     let (class_names, tenant_names) = (names("categories")?, Tenants(names("accounts")?));
     tenant_names.are_told_apart()?;
-    let max_attempts = env.get("limits.maxAttempts", 1)?;
-    if max_attempts == 0 {
-        return Err("setting limits.maxAttempts: must be above zero".into());
-    }
     let fees = env.list("familyInfo.carriage").into_iter().map(str::parse);
     let zone_fees =
         fees.collect::<Result<_, _>>().map_err(|e| format!("setting familyInfo.carriage: {e}"))?;
@@ -213,7 +195,7 @@
         relays: env.get("balancers", 1)?,
         slots: env.get("familyInfo.maxCalls", 0)?,
         room: env.get("limits.openCap", 0)?,
-        max_attempts,
+        max_attempts: env.get("limits.maxAttempts", 1)?,
         bounds: Vec::new(),
         decay: if env.word("familyInfo.losesWorth") == Some("halving") {
             Decay::Halving
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,5 @@
 //! What a relay keeps in mind. No decision and no tuned number is here: `src/policy.rs`, `pace.rs` and `health.rs` have them.
 
-use crate::first_call;
 use crate::interface::*;
 pub use crate::measure::*;
 use crate::pace::Gate;
@@ -34,26 +33,13 @@
     pub refused: bool,
     pub not_before: Time,
     pub over_share: bool,
-    /// An earlier process took it on and never called: when its first call no longer waits for this sender's pace.
-    pub first_call_due: Option<Time>,
 }
 
 impl Held {
-    /// What an earlier process left of a message that may be delivered for `left`. `draw` is evenly from 0 to 1.
-    pub fn resumed(now: Time, past: &Past, left: Time, draw: f64) -> Self {
+    /// What an earlier life left of a message.
+    pub fn resumed(now: Time, past: &Past) -> Self {
         let ran = past.ran.map(|(ago, zone)| (now.saturating_sub(ago), zone));
-        let first_call_due = (past.attempts == 0).then(|| first_call::due(now, left, draw));
-        Held { attempts: u32::from(past.attempts), ran, first_call_due, ..Held::default() }
-    }
-
-    /// An earlier process took it on, and no process has called anybody for it yet.
-    pub fn is_owed_first_call(&self) -> bool {
-        self.first_call_due.is_some() && self.attempts == 0
-    }
-
-    /// Its first call waits for this sender's pace no longer.
-    pub fn is_first_call_due(&self, now: Time) -> bool {
-        self.attempts == 0 && self.first_call_due.is_some_and(|at| at <= now)
+        Held { attempts: u32::from(past.attempts), ran, ..Held::default() }
     }
 }
 
--- a/src/store/frame.rs
+++ b/src/store/frame.rs
@@ -167,12 +167,7 @@
 
 /// Whether frames end here on purpose: at the mark, or where no other frame would fit.
 pub fn is_end(bytes: &[u8]) -> bool {
-    bytes.len() < HEAD + NAMED || is_end_mark(bytes)
-}
-
-/// Whether the mark of an end stands here.
-pub fn is_end_mark(bytes: &[u8]) -> bool {
-    bytes.get(..END).is_some_and(|mark| mark.iter().all(|b| *b == 0))
+    bytes.len() < HEAD + NAMED || bytes[..END].iter().all(|b| *b == 0)
 }
 
 /// The first whole frame in these bytes, at or after `from`.
--- a/src/store/log.rs
+++ b/src/store/log.rs
@@ -120,10 +120,6 @@
     pub damage: Vec<Damage>,
     /// Bytes at the end that hold part of a frame.
     pub torn: u64,
-    /// Where those bytes begin: the segment's file, and the offset in it.
-    pub torn_at: Option<(String, u64)>,
-    /// Files that are shorter than any segment, and hold nothing.
-    pub short: Vec<String>,
     /// Bytes read.
     pub read: u64,
 }
@@ -216,8 +212,7 @@
             }
             log.legacy = Some((legacy.name, legacy.size, left));
         }
-        let recover::Scan { damage, torn, torn_at, short, read, .. } = scan;
-        Ok(Opened { log, damage, torn, torn_at, short, read })
+        Ok(Opened { log, damage: scan.damage, torn: scan.torn, read: scan.read })
     }
 
     /// The store as it stands.
--- a/src/store/plan.rs
+++ b/src/store/plan.rs
@@ -7,7 +7,7 @@
 /// Smallest and largest file of a segment. The smallest holds two of the longest messages.
 const SEGMENT: (u64, u64) = (144 * 1024, 4 * 1024 * 1024);
 /// Files of segments are multiples of this.
-pub const BLOCK: u64 = 4096;
+const BLOCK: u64 = 4096;
 /// Of the folder's limit, left for what is no segment.
 const OTHERS: u64 = 4096;
 /// Segments that a limit is cut into, and the fewest of them; below that, segments are made smaller.
--- a/src/store/recover.rs
+++ b/src/store/recover.rs
@@ -5,7 +5,6 @@
 
 use super::disk::{read_full, Disk};
 use super::frame::{self, Began, Header, Tag, BEGIN};
-use super::plan::BLOCK;
 use std::collections::HashMap;
 use std::fmt;
 use std::io;
@@ -122,10 +121,6 @@
     pub damage: Vec<Damage>,
     /// Bytes at the end of the newest segment that hold part of a frame.
     pub torn: u64,
-    /// Where those bytes begin: the segment's file, and the offset in it.
-    pub torn_at: Option<(String, u64)>,
-    /// Files without a header that are shorter than any segment: the process ended while it made them, or they were cut.
-    pub short: Vec<String>,
     /// Bytes read.
     pub read: u64,
     /// Everything before this segment and offset was synced, as far as is told.
@@ -160,10 +155,7 @@
             Began::At(header) => {
                 scan.found.push(Found { slot, size, header, len: BEGIN, frames: 0 });
             }
-            Began::Never => {
-                scan.short.extend((size == 0 || is_cut(size)).then(|| name.clone()));
-                scan.free.push((slot, size));
-            }
+            Began::Never => scan.free.push((slot, size)),
             Began::Unreadable => unreadable.push((slot, size)),
         }
     }
@@ -223,12 +215,10 @@
         let lost: Vec<bool> = doubts.iter().map(|d| d.0 >= oldest && (!d.3 || (d.0, d.1) < mark)).collect();
         replay.believe(&lost);
         for (doubt, _) in doubts.iter().zip(&lost).rev().filter(|(_, lost)| !**lost) {
-            if let Damage::Bytes { file, seq, from, to } = self.damage.remove(doubt.2) {
-                if seq >= oldest {
-                    self.torn += to - from;
-                    self.torn_at = Some((file, from));
-                }
-            }
+            self.torn += match self.damage.remove(doubt.2) {
+                Damage::Bytes { seq, from, to, .. } if seq >= oldest => to - from,
+                _ => 0,
+            };
         }
     }
 
@@ -243,7 +233,6 @@
     ) -> io::Result<()> {
         let newest = which + 1 == self.found.len();
         let found = &self.found[which];
-        let cut = is_cut(found.size);
         let (Header { seq, salt, marked, .. }, file) = (found.header, name(found.slot));
         bytes.resize(found.size as usize, 0);
         // One file at a time: there may be more of them than descriptors.
@@ -251,15 +240,13 @@
         bytes.truncate(got);
         self.read += got as u64;
         // A file may have been cut short, too.
-        let end = ends.unwrap_or(found.size.next_multiple_of(BLOCK));
+        let end = ends.unwrap_or(found.size);
         bytes.truncate(end as usize);
         let mut at = BEGIN as usize;
         loop {
             let rest = bytes.get(at..).unwrap_or_default();
             let Some(frame) = frame::read(salt, rest) else {
-                // Where the file itself was cut, only the mark tells an end from lines that are gone.
-                let at_end = if cut { frame::is_end_mark(rest) } else { frame::is_end(rest) };
-                if ends.map_or(at_end, |e| at as u64 >= e) {
+                if ends.map_or(frame::is_end(rest), |e| at as u64 >= e) {
                     break;
                 }
                 let next = frame::next(salt, bytes, at + 1);
@@ -271,10 +258,7 @@
                         at = next;
                         continue;
                     }
-                    (None, None) if newest && !cut => {
-                        self.torn = torn(rest);
-                        self.torn_at = Some((file.clone(), at as u64));
-                    }
+                    (None, None) if newest => self.torn = torn(rest),
                     (None, _) => {
                         let (file, from) = (file.clone(), at as u64);
                         let damage = Damage::Bytes { file, seq, from, to: end };
@@ -322,11 +306,6 @@
     }
 }
 
-/// Whether a file of this size is less than it was made as.
-fn is_cut(size: u64) -> bool {
-    size % BLOCK != 0
-}
-
 /// How many bytes of a frame that was cut off are there: up to the last that is not zero, and no more than it would
 /// have had.
 fn torn(rest: &[u8]) -> u64 {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,11 +83,7 @@
 
 impl Driver {
     pub fn new(settings: Settings, list: Vec<Listing>) -> Self {
-        Driver::seeded(settings, list, 7)
-    }
-
-    pub fn seeded(settings: Settings, list: Vec<Listing>, seed: u64) -> Self {
-        let relay = Relay::new(settings, seed).expect("usable settings");
+        let relay = Relay::new(settings, 7).expect("usable settings");
         let mut d = Driver { relay, now: 5 * SEC, seen: Vec::new(), attempts: Default::default() };
         d.give(Event::CachedList(list));
         d
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -20,8 +20,6 @@
     deaf: usize,
     /// Open watches say nothing more, as when the machine is cut off.
     frozen: bool,
-    /// Connections are closed as they come.
-    down: bool,
 }
 
 pub struct Discovery {
@@ -44,9 +42,6 @@
         let shared = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                if shared.lock().expect("a state").down {
-                    continue;
-                }
                 let (state, sender) = (shared.clone(), sender.clone());
                 thread::spawn(move || serve(stream, &state, &sender));
             }
@@ -62,23 +57,8 @@
 
     /// Lists a provider, or changes its line.
     pub fn list(&self, uid: &str, address: SocketAddr, zone: &str, kind: &str, condition: &str) {
-        self.tell(
-            uid,
-            json!({"uid": uid, "endpoint": address, "az": zone, "model": kind, "pod_group": 7,
-                "state": condition, "capacity_hint": 50.0, "boot_ms": 0}),
-        );
-    }
-
-    /// The same for a destination of its own.
-    pub fn list_for(&self, uid: &str, address: SocketAddr, dest: usize, condition: &str) {
-        self.tell(
-            uid,
-            json!({"uid": uid, "endpoint": address, "az": "a", "model": "hook", "pod_group": dest,
-                "state": condition, "capacity_hint": 4.0, "boot_ms": 0}),
-        );
-    }
-
-    fn tell(&self, uid: &str, target: Value) {
+        let target = json!({"uid": uid, "endpoint": address, "az": zone, "model": kind, "pod_group": 7,
+            "state": condition, "capacity_hint": 50.0, "boot_ms": 0});
         let mut state = self.state.lock().expect("a state");
         state.rev += 1;
         state.targets.retain(|t| t["uid"] != uid);
@@ -117,13 +97,6 @@
         self.state.lock().expect("a state").frozen = frozen;
     }
 
-    /// Ends all watches and serves nobody, or ends that.
-    pub fn be_down(&self, down: bool) {
-        let mut state = self.state.lock().expect("a state");
-        state.down = down;
-        state.watchers.clear();
-    }
-
     /// Turns so many requests with notices away before one is heard.
     pub fn be_deaf(&self, times: usize) {
         self.state.lock().expect("a state").deaf = times;
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,10 +2,8 @@
 //! and runs unchanged on every front.
 
 mod bad_clients;
-mod client_crossings;
 mod discovery;
 mod dns_only;
-mod endpoint_crossings;
 mod held_log;
 mod hook_only;
 mod http;
@@ -16,7 +14,6 @@
 mod platform_only;
 mod program;
 mod reload;
-mod restarts;
 mod rig;
 mod scenarios;
 mod spoilt;
--- a/tests/sockets/platform_only.rs
+++ b/tests/sockets/platform_only.rs
@@ -222,54 +222,6 @@
     refused(&mut change("/seed", json!("xyz")), "seed");
     refused(&mut change("/limits/disk_mb", json!(-1)), "limits.disk_mb");
     refused(Command::new(env!("CARGO_BIN_EXE_raildeal")).env_remove("NODE_CONFIG"), "NODE_CONFIG");
-    // Each of these is set in an otherwise good configuration, whether or not it stands there.
-    for (path, value, words) in [
-        ("/discovery", json!("10.2.0.1"), "discovery"),
-        ("/discovery", json!(8500), "discovery"),
-        ("/listen", json!(9000), "listen"),
-        ("/listen", json!("203.0.113.7:9000"), "platform: 203.0.113.7:9000"),
-        ("/name", json!(3), "name"),
-        ("/seed", json!(-3), "seed"),
-        ("/state", json!("/nowhere"), "state: /nowhere"),
-        ("/known", json!("none"), "known"),
-        ("/known", json!({"rev": 1, "targets": [{"uid": "p"}]}), "known"),
-        ("/limits/disk_mb", json!(0.001), "limits.disk_mb"),
-        ("/limits/disk_mb", json!("3"), "limits.disk_mb"),
-        ("/limits/sockets", json!(3), "limits.sockets"),
-        ("/limits/sockets", json!("many"), "limits.sockets"),
-        ("/settings", json!([]), "categories"),
-        ("/settings/balancers", json!("many"), "balancers"),
-        ("/settings/categories", json!([]), "categories"),
-        ("/settings/categories/0/deadline", json!(0), "categories.deadline"),
-        ("/settings/categories/0/deadline", json!("soon"), "categories.0.deadline"),
-        ("/settings/categories/0/window", json!(-1), "categories.0.window"),
-        ("/settings/categories/0/effect", json!("some"), "categories.0.effect"),
-        ("/settings/accounts", json!([{"share": "half"}]), "accounts.0.share"),
-        ("/settings/familyInfo/maxCalls", json!(0), "familyInfo.maxCalls"),
-        ("/settings/familyInfo/kindBatch", json!(["x"]), "familyInfo.kindBatch"),
-        ("/settings/familyInfo/carriage", json!(["x"]), "familyInfo.carriage"),
-        ("/settings/limits/openCap", json!(0), "limits.openCap"),
-        ("/settings/limits/maxAttempts", json!(0), "limits.maxAttempts"),
-        ("/settings/limits/connectTimeout", json!(1.5), "limits.connectTimeout"),
-        ("/settings/rules", json!({"mustAskIn": -1}), "rules.mustAskIn"),
-        ("/settings/rules", json!({"coldShare": "cold"}), "rules.coldShare"),
-    ] {
-        let mut config = config(&folder, Value::Null);
-        let (parent, field) = path.rsplit_once('/').expect("a path");
-        config.pointer_mut(parent).expect("its parent")[field] = value;
-        let mut command = platform_command(&folder, &config);
-        if field == "state" {
-            command.env_remove("NODE_STATE");
-        }
-        refused(&mut command, words);
-    }
-    let file = folder.path().join("config.json");
-    let whole = config(&folder, Value::Null).to_string();
-    for text in [&whole[..whole.len() / 2], "", "[]", "\u{0}"] {
-        let mut command = platform_command(&folder, &Value::Null);
-        std::fs::write(&file, text).expect("a file");
-        refused(&mut command, if text == "[]" { "discovery" } else { "NODE_CONFIG" });
-    }
     let file = folder.path().join("operator.toml");
     let good = "name = \"n\"\nstate = \"/nowhere\"\n[settings]\nkinds = [\"k\"]\n\
                 [[provider]]\nuid = \"p\"\naddress = \"127.0.0.1:9\"\ndest = 7\n";
--- a/tests/sockets/spoilt.rs
+++ b/tests/sockets/spoilt.rs
@@ -71,8 +71,7 @@
     for spoilt in [
         b"\x00\xff\xfe noise".as_slice(),
         b"HTTP/1.1 503 Busy\r\nX-Head: never ends\r\n",
-        // Where it tells a wait as well, that is kept: `endpoint_crossings`.
-        b"HTTP/1.1 429 Slow down\r\nContent-Length: 9\r\n\r\nshort",
+        b"HTTP/1.1 429 Slow down\r\nX-RateLimit-Wait-Ms: 5000\r\nContent-Length: 9\r\n\r\nshort",
         b"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 201 Created\r\nContent-Length: 3000000000\r\n\r\n",
     ] {
