--- a/src/asking.rs
+++ b/src/asking.rs
@@ -26,7 +26,7 @@
 const DEARER: f64 = 3.0;
 /// What one of few waits after its first failure, and at most, in seconds; it doubles with each.
 const GAPS: (f64, f64) = (0.5, 4.0);
-/// How many times longer a list counts as true after an ask that failed than after none, by the settings' page; [`CHANGE_COUNTS`] at most.
+/// How many times longer a list counts as true after an ask that failed than after none, by the settings' page.
 const FAILED: Time = 4;
 /// What changes counts as told so long after a move of the directory, by the operators' page on new configurations; asking does not
 /// change that.
@@ -110,7 +110,7 @@
     /// From when on what has changed counts as told, though nobody told it.
     told_at: Option<Time>,
     /// When a change that nobody told begins to count: [`CHANGE_COUNTS`] after the last word or, while the directory is known to be
-    /// down, after the next ask. No ask changes it before it has ended.
+    /// down (or, one of many, was refused by it), after the next ask. No ask changes it before it has ended.
     changes_count_at: Time,
     /// The directory was there after its last word, and may have had something to tell, as an ask that was not answered in its time
     /// shows; where many ask, only one that was never answered.
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -281,7 +281,7 @@
 }
 
 /// Takes one line off the front, without its end.
-pub fn take_line(from: &mut Vec<u8>) -> Option<Vec<u8>> {
+fn take_line(from: &mut Vec<u8>) -> Option<Vec<u8>> {
     let end = from.iter().position(|b| *b == b'\n')?;
     let mut line: Vec<u8> = from.drain(..=end).collect();
     line.pop();
