--- a/src/net/mqtt/ingress.rs
+++ b/src/net/mqtt/ingress.rs
@@ -10,6 +10,7 @@
 use crate::delivery::{duration, is_valid_identifier, Envelope, LocalBoxFuture, MAX_BODY_BYTES};
 use crate::net::connection_listener::{Seat, Serve, WITHOUT_TENANT};
 use crate::net::stream::{Stream, Writer};
+use crate::net::wait_in_ms;
 use crate::NO_TENANT;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -279,7 +280,7 @@
         let bytes = match read(&mut stream).await {
             Ok(Some(Packet::Connect(connect))) => {
                 let told = connect.properties.request_problem_info != Some(false);
-                let waits = told.then(|| user("wait-ms", wait.as_millis().to_string()));
+                let waits = told.then(|| user("wait-ms", wait_in_ms(wait).to_string()));
                 let properties = ConnackProperties {
                     user_properties: waits.into_iter().collect(),
                     ..Default::default()
@@ -404,7 +405,7 @@
         let properties = PubackProperties {
             reason_string: reason.filter(|_| told).map(Into::into),
             user_properties: waits
-                .map(|w| user("wait-ms", w.as_millis().to_string()))
+                .map(|w| user("wait-ms", wait_in_ms(w).to_string()))
                 .into_iter()
                 .collect(),
         };
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -9,6 +9,7 @@
 use crate::delivery::{is_valid_identifier, Envelope, LocalBoxFuture};
 use crate::net::connection_listener::{Seat, Serve, WITHOUT_TENANT};
 use crate::net::stream::Stream;
+use crate::net::wait_in_ms;
 use crate::NO_TENANT;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -391,7 +392,10 @@
 fn retry_after(wait: Duration) -> String {
     match wait {
         Duration::ZERO => String::new(),
-        wait => format!("Retry-After: {:.3}\r\n", wait.as_secs_f64()),
+        wait => {
+            let ms = wait_in_ms(wait);
+            format!("Retry-After: {}.{:03}\r\n", ms / 1_000, ms % 1_000)
+        }
     }
 }
 
