--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod bad_clients;
 mod discovery;
 mod dns_only;
+mod final_answers;
 mod held_log;
 mod hook_only;
 mod http;
