End attempts before their message, and give each a final answer in time

Cause: the spans between a message's end and its final answer each had a limit of their own and none that came from the deadline: an attempt's time-out was all the time left, the rest of an answer had 300 ms more for each answer that only announced another one (net/calls.rs), the verdict waited for the disk without bound (final_answer.rs), and a notice waited behind any other that was slow to be heard (notices.rs).

Ruled out: a restart between acceptance and notice, a request with notices that failed (no such line).

On sockets beside it: interrupted reads and writes go on, what this machine cannot open for a moment is not held against its endpoint, and an accept that fails for one connection keeps no other waiting.

--- a/simulator/src/load/partners.rs
+++ b/simulator/src/load/partners.rs
@@ -283,9 +283,7 @@
                     Timer::after(Duration::from_millis(50)).await;
                     continue;
                 };
-                let Ok(stream) = Stream::new(socket) else {
-                    continue;
-                };
+                let stream = Stream::new(socket);
                 // An error ends the connection, and that is all there is to say of it.
                 match front {
                     Front::Http => run.spawn(http(state.clone(), route, stream)).detach(),
--- a/src/admission_control/descriptor_budget.rs
+++ b/src/admission_control/descriptor_budget.rs
@@ -6,6 +6,8 @@
 const OWN: usize = 18 + MAX_OPEN_FILES;
 use crate::store::log::MAX_OPEN_FILES;
 
+/// For requests with notices that go beside the first one; what is kept gives way to them.
+const FURTHER_NOTICES: usize = 2;
 /// For connections that are accepted and not yet placed: in the lobby, or told that all is full.
 const LOBBY: usize = 16;
 /// Below this the parts make no sense.
@@ -39,7 +41,7 @@
         let clients = (rest / 3).max(1);
         let lobby = LOBBY.min(rest / 16);
         let calls = slots.min(rest.saturating_sub(clients + lobby));
-        let kept = rest.saturating_sub(clients + lobby + calls);
+        let kept = rest.saturating_sub(clients + lobby + calls + FURTHER_NOTICES);
         Budget {
             all,
             clients,
--- a/src/delivery/message/accept.rs
+++ b/src/delivery/message/accept.rs
@@ -10,7 +10,7 @@
 use super::{
     class_name, dispatcher_message, lacks_required_key, log_step, ClientReply, DeliveryContext,
 };
-use super::{step, CLIENT_ANSWER_TIMEOUT};
+use super::{step, TimeBudget, CLIENT_ANSWER_TIMEOUT};
 use crate::admission_control::message_limits::Kept;
 use crate::delivery::admission::{Admission, AdmissionClosed, Admitted};
 use crate::delivery::client_quota::{Client, ClientQuotaGuard, ClientQuotas};
@@ -35,27 +35,23 @@
 pub(super) struct Submission {
     client: Client,
     envelope: Envelope,
-    /// When its time began to run.
-    started_at: Instant,
-    /// The time that it had left then.
-    time_left: Duration,
+    time: TimeBudget,
 }
 
 impl Submission {
-    /// A message that comes in now.
-    pub(super) fn new(client: Client, envelope: Envelope, time_left: Duration) -> Self {
+    /// A message that is not yet checked.
+    pub(super) fn new(client: Client, envelope: Envelope, time: TimeBudget) -> Self {
         Submission {
             client,
             envelope,
-            started_at: Instant::now(),
-            time_left,
+            time,
         }
     }
 
     /// No message is held for longer than its class may be, whatever its client says.
     fn limit_time_left(&mut self, policy: &Policy) {
         if let Some(class) = policy.class(self.envelope.class) {
-            self.time_left = self.time_left.min(duration(class.deadline));
+            self.time.time_left = self.time.time_left.min(duration(class.deadline));
         }
     }
 }
@@ -89,8 +85,7 @@
     record: OpenRecord,
     envelope: Rc<Envelope>,
     quota: ClientQuotaGuard,
-    started_at: Instant,
-    time_left: Duration,
+    time: TimeBudget,
 }
 
 /// Why a message is rejected before it is written down; the text is what the log says.
@@ -219,8 +214,7 @@
     let Submission {
         client,
         envelope,
-        started_at,
-        time_left,
+        time,
     } = submission;
     context
         .acceptance_checks()
@@ -228,7 +222,7 @@
     let policy = terms.policy.policy.number;
     let record = context
         .journal
-        .append_accepted(envelope, time_left, policy, terms.table)
+        .append_accepted(envelope, time.remaining(), policy, terms.table)
         .map_err(|source| Rejection::Journal {
             source,
             retry_after: context.journal.retry_after(),
@@ -239,14 +233,13 @@
         debug,
         envelope.id,
         "{}",
-        step::accepted(&envelope, terms.table, time_left)
+        step::accepted(&envelope, terms.table, time.remaining())
     );
     Ok(JournaledMessage {
         record,
         envelope,
         quota,
-        started_at,
-        time_left,
+        time,
     })
 }
 
@@ -261,10 +254,9 @@
         record,
         envelope,
         quota,
-        started_at,
-        time_left,
+        time,
     } = journaled;
-    let message = dispatcher_message(&envelope, &terms.policy, time_left);
+    let message = dispatcher_message(&envelope, &terms.policy, time.remaining());
     let mut handle = checks.driver.submit(message, None);
     let first_order = handle.try_next_order();
     MessageInDelivery {
@@ -273,7 +265,7 @@
         handle,
         quota,
         first_order,
-        deadline: started_at + time_left,
+        deadline: time.deadline(),
         id_guard: Some(id_guard),
         policy: terms.policy,
     }
@@ -375,9 +367,10 @@
             .await?
             == Admitted::AfterWaiting
         {
-            let waited = submission.started_at.elapsed();
-            submission.started_at = Instant::now();
-            submission.time_left = submission.time_left.saturating_sub(waited);
+            submission.time = TimeBudget {
+                time_left: submission.time.remaining(),
+                received_at: Instant::now(),
+            };
         }
         Ok(())
     }
@@ -413,7 +406,7 @@
             return Ok(());
         };
         let class = class_name(self.class_names, envelope);
-        match hook.ingress(envelope, class, submission.time_left) {
+        match hook.ingress(envelope, class, submission.time.remaining()) {
             HookDecision::Reject(retry_after) => Err(Rejection::ScriptHook { retry_after }),
             HookDecision::Pass(notes) => {
                 envelope.notes = notes;
--- a/src/delivery/message/attempt.rs
+++ b/src/delivery/message/attempt.rs
@@ -12,9 +12,12 @@
 use crate::delivery::endpoint::Endpoint;
 use crate::delivery::endpoint_directory::EndpointDirectory;
 use crate::delivery::routing_tables::RoutingTables;
+use crate::delivery::timer_wheel::TimerWheel;
 use crate::delivery::{duration, AttemptReport, AttemptRequest, EndpointClient};
 use crate::{Condition, DedupScope, Effect, EndpointAddress, Outcome};
+use futures_lite::Future;
 use std::cell::Cell;
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -24,10 +27,12 @@
     pub(super) driver: &'a Rc<DispatcherDriver>,
     pub(super) routing_tables: &'a RoutingTables,
     pub(super) endpoint_client: &'a dyn EndpointClient,
+    pub(super) wheel: &'a Rc<TimerWheel>,
 }
 
 impl AttemptExecutor<'_> {
     /// Carries one attempt out and says how it ended; [`Outcome::NotSent`] where it must not begin.
+    /// Whatever it waits for, the message's last moments are left to its final answer.
     pub(super) async fn execute(
         &self,
         message: &MessageInDelivery,
@@ -37,7 +42,9 @@
         let Some(endpoint) = self.directory.endpoint(address) else {
             return Outcome::NotSent.into();
         };
-        let envelope = match message.record.load_envelope().await {
+        let ends_at = message.attempt_ends_at();
+        let loaded = self.by(ends_at, message.record.load_envelope()).await;
+        let envelope = match loaded {
             Ok(envelope) => envelope,
             Err(e) => {
                 log_step!(error, message.envelope.id, "its body cannot be read: {e}");
@@ -54,6 +61,7 @@
             endpoint,
             permit,
             timeout,
+            ends_at,
             is_journaled: Cell::new(false),
             has_begun: Cell::new(false),
         };
@@ -63,7 +71,8 @@
         let request = AttemptRequest {
             endpoint: attempt.endpoint.clone(),
             envelope: &envelope,
-            timeout,
+            timeout: timeout.min(ends_at.saturating_duration_since(Instant::now())),
+            ends_at,
             authorize_send: &|| attempt.authorize_send(),
         };
         let report = self.endpoint_client.execute(request).await;
@@ -71,6 +80,17 @@
         report
     }
 
+    /// Waits for work on the journal's files until a moment at the latest.
+    async fn by<T>(
+        &self,
+        moment: Instant,
+        work: impl Future<Output = io::Result<T>>,
+    ) -> io::Result<T> {
+        let time = moment.saturating_duration_since(Instant::now());
+        let done = self.wheel.timeout(time, work).await;
+        done.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Closes the connections to an endpoint that has left or drains: it may have done so while an
     /// attempt was in flight, and nobody else would close the connection that was just given back.
     fn close_if_not_ready(&self, address: EndpointAddress, endpoint: &Endpoint) {
@@ -90,6 +110,8 @@
     endpoint: Rc<Endpoint>,
     permit: AttemptPermit,
     timeout: Duration,
+    /// It is over by then.
+    ends_at: Instant,
     /// The journal says that it was sent.
     is_journaled: Cell<bool>,
     /// Its first byte was allowed to go.
@@ -103,7 +125,10 @@
         if !self.is_allowed() || !self.write_sent() {
             return false;
         }
-        if self.message.record.durable().await.is_err() {
+        let durable = self
+            .executor
+            .by(self.ends_at, self.message.record.durable());
+        if durable.await.is_err() {
             self.message.record.attempt_ended(false);
             return false;
         }
@@ -141,7 +166,7 @@
             ..
         } = self.executor;
         directory.admits(self.address, Instant::now())
-            && Instant::now() < self.message.deadline
+            && Instant::now() < self.ends_at
             && !driver.endpoint_list_is_stale()
             && routing_tables.allows_zone(&self.message.envelope, self.endpoint.zone)
             && self.may_repeat()
--- a/src/delivery/message/final_answer.rs
+++ b/src/delivery/message/final_answer.rs
@@ -11,7 +11,9 @@
 use crate::delivery::journal::{OpenRecord, WRITE_RETRY_DELAY};
 use crate::delivery::policies::Policy;
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::delivery::{duration, Envelope, Frontend, LifecycleEvent, Verdict};
+use crate::delivery::{duration, Envelope, FinalAnswer, Frontend, LifecycleEvent, Verdict};
+use crate::dispatch::deadline;
+use crate::Nanos;
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
@@ -43,8 +45,18 @@
         drop((handle, quota));
         self.observe_end(&envelope, &policy.policy, verdict, deadline);
         let time_left = deadline.saturating_duration_since(Instant::now());
+        // The client may have counted its time from earlier on: by its clock this delivery may have
+        // come too late, and then it waits for an answer that nobody else owes it.
+        let answer = FinalAnswer {
+            verdict,
+            crosses_end: deadline::may_cross_the_end(time_left.as_nanos() as Nanos),
+        };
         let line = step::decided(&envelope, record.snapshot().table, verdict, time_left);
         log_step!(debug, envelope.id, "{line}");
+        if time_left.is_zero() {
+            let late = deadline.elapsed();
+            log_step!(warn, envelope.id, "{verdict:?} {late:?} after its time");
+        }
         self.write_verdict(&record, verdict, deadline).await;
         if let Some(hook) = &policy.policy.hook {
             hook.final_answer(&envelope, class_name(self.class_names, &envelope), verdict);
@@ -52,31 +64,39 @@
         // An answer may wait long for its client; the body goes now.
         drop(envelope);
         let envelope = record.envelope();
-        self.send(&envelope, record, verdict).await;
+        self.send(&envelope, record, answer).await;
         drop((id_guard, policy));
     }
 
     /// Sends a final answer, and closes the record once it was received.
-    pub(super) async fn send(&self, envelope: &Envelope, record: OpenRecord, verdict: Verdict) {
+    pub(super) async fn send(&self, envelope: &Envelope, record: OpenRecord, answer: FinalAnswer) {
         let id = &envelope.id;
         let Some(frontend) = self.frontends.get(&envelope.frontend) else {
             // The record stays open: what is owed is owed until that frontend is back.
             log_step!(
                 error,
                 id,
-                "its front is not set up any more; {verdict:?} is not told"
+                "its front is not set up any more; {:?} is not told",
+                answer.verdict
             );
             return;
         };
-        frontend.send_final_answer(envelope, verdict).await;
+        frontend.send_final_answer(envelope, answer).await;
         log_step!(debug, id, "{}", step::NOTIFIED);
         let _ = record.close();
     }
 
     /// Writes a verdict down, as often as it takes. Once the message's time is up, the final answer
-    /// is sent in any case.
+    /// is sent in any case: also while the disk has not answered.
     async fn write_verdict(&self, record: &OpenRecord, verdict: Verdict, deadline: Instant) {
-        while let Err(e) = write_durably(record, verdict).await {
+        loop {
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let written = self
+                .wheel
+                .timeout(time_left, write_durably(record, verdict));
+            let Err(e) = (written.await).unwrap_or(Err(io::ErrorKind::TimedOut.into())) else {
+                return;
+            };
             if Instant::now() + WRITE_RETRY_DELAY >= deadline {
                 let id = &record.envelope().id;
                 log_step!(
--- a/src/delivery/message/in_delivery.rs
+++ b/src/delivery/message/in_delivery.rs
@@ -5,9 +5,11 @@
 use crate::delivery::driver::{DispatchOrder, MessageHandle};
 use crate::delivery::journal::OpenRecord;
 use crate::delivery::policies::PolicyHold;
-use crate::delivery::Envelope;
+use crate::delivery::{duration, Envelope};
+use crate::dispatch::deadline;
+use crate::Nanos;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// An accepted message, and what is held for it until its end. Dropped, all of that is released.
 pub(super) struct MessageInDelivery {
@@ -28,3 +30,16 @@
     /// The policy that it ends under.
     pub(super) policy: PolicyHold,
 }
+
+impl MessageInDelivery {
+    /// The time that it has left.
+    pub(super) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// When an attempt that begins now is over at the latest.
+    pub(super) fn attempt_ends_at(&self) -> Instant {
+        let time_left = self.time_left().as_nanos() as Nanos;
+        Instant::now() + duration(deadline::longest_attempt(time_left))
+    }
+}
--- a/src/delivery/message/mod.rs
+++ b/src/delivery/message/mod.rs
@@ -29,7 +29,8 @@
 use crate::delivery::policies::{PolicyHold, PolicySet};
 use crate::delivery::routing_tables::RoutingTables;
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::delivery::{duration, EndpointClient, Envelope, Frontend, LocalBoxFuture};
+use crate::delivery::{duration, EndpointClient, Envelope, FinalAnswer, Frontend, LocalBoxFuture};
+use crate::dispatch::deadline;
 use crate::{Class, Effect, Message, Nanos, PossibleRun, PriorAttempts};
 use accept::AcceptanceChecks;
 use attempt::AttemptExecutor;
@@ -73,6 +74,27 @@
     fn failed<'a>(self: Box<Self>) -> LocalBoxFuture<'a, ()>;
 }
 
+/// How much time a message has, as its client said it.
+#[derive(Clone, Copy, Debug)]
+pub struct TimeBudget {
+    /// When the client's word reached this process: its time runs since then at least.
+    pub received_at: Instant,
+    /// The time that was left then.
+    pub time_left: Duration,
+}
+
+impl TimeBudget {
+    /// When it is used up.
+    fn deadline(&self) -> Instant {
+        self.received_at + self.time_left
+    }
+
+    /// What is left of it now.
+    fn remaining(&self) -> Duration {
+        self.time_left.saturating_sub(self.received_at.elapsed())
+    }
+}
+
 /// Names the parts that messages are delivered with; each step takes only those that it uses.
 ///
 /// Built once, at the start of the process. It owns no state of its own.
@@ -109,10 +131,10 @@
     context: Rc<DeliveryContext>,
     client: Client,
     envelope: Envelope,
-    time_left: Duration,
+    time: TimeBudget,
     reply: Box<dyn ClientReply>,
 ) {
-    let submission = accept::Submission::new(client, envelope, time_left);
+    let submission = accept::Submission::new(client, envelope, time);
     if let Some(message) = accept::accept(&context, submission, reply).await {
         deliver::deliver(&context, message).await;
     }
@@ -130,9 +152,15 @@
         guard.decide(AcceptanceDecision::Accepted);
     }
     if let Some(verdict) = account.verdict {
+        // When it was decided, no less time was left than now.
+        let time_left = record.time_left().as_nanos() as Nanos;
+        let answer = FinalAnswer {
+            verdict,
+            crosses_end: deadline::may_cross_the_end(time_left),
+        };
         return context
             .final_answers()
-            .send(&envelope, record, verdict)
+            .send(&envelope, record, answer)
             .await;
     }
     record.attempt_ended(true);
@@ -272,6 +300,7 @@
             driver: &self.driver,
             routing_tables: &self.routing_tables,
             endpoint_client: &*self.endpoint_client,
+            wheel: &self.wheel,
         }
     }
 
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -43,7 +43,7 @@
 use std::any::Any;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Longest body that is accepted, in bytes; the clients' interface says so.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -105,6 +105,16 @@
     Undeliverable,
 }
 
+/// A final answer as its frontend has to send it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FinalAnswer {
+    /// What it says.
+    pub verdict: Verdict,
+    /// The verdict came so close to the end of the message's time that its client may have taken
+    /// the message for lost: it has to be told even what it usually learns by itself.
+    pub crosses_end: bool,
+}
+
 /// Sends final answers to the clients that handed messages in.
 pub trait Frontend {
     /// Sends a final answer, as often as it takes; done once it is known to have been received, or
@@ -112,7 +122,7 @@
     fn send_final_answer<'a>(
         &'a self,
         envelope: &'a Envelope,
-        verdict: Verdict,
+        answer: FinalAnswer,
     ) -> LocalBoxFuture<'a, ()>;
 
     /// A message is held from now on. What this returns, if anything, is dropped once nothing is
@@ -181,6 +191,9 @@
     pub envelope: &'a Envelope,
     /// How long its answer is waited for.
     pub timeout: Duration,
+    /// The attempt is over by then, even if an answer has begun: the rest of its message's time is
+    /// for the final answer.
+    pub ends_at: Instant,
     /// Called right before the first byte; where it returns false, nothing must be sent and the
     /// outcome is [`Outcome::NotSent`].
     pub authorize_send: &'a dyn Fn() -> bool,
--- a/src/dispatch/dispatcher/admission.rs
+++ b/src/dispatch/dispatcher/admission.rs
@@ -5,10 +5,8 @@
 //! routes. Caller: [`Dispatcher::handle`].
 
 use super::*;
-use crate::dispatch::statistics::MS;
+use crate::dispatch::deadline;
 
-/// Time kept for the answer to travel, in nanoseconds: a message with less left is given up.
-pub(super) const ANSWER_MARGIN: Nanos = 250 * MS;
 /// Part of the room that is filled before load is shed, in tenths: what comes next is then judged
 /// here and not rejected unseen.
 const FILLED_TENTHS: usize = 9;
@@ -228,7 +226,7 @@
                 }
             };
             let start = now.max(opens_at).max(pending.not_before);
-            let is_late = start + ANSWER_MARGIN >= pending.deadline;
+            let is_late = !deadline::may_begin(start, pending.deadline);
             if is_late || !self.retry_eligibility(pending, start).may_retry {
                 let wait = opens_at.saturating_sub(now);
                 all.push(Undeliverable { id, dest, wait });
--- a/src/dispatch/dispatcher/scheduling.rs
+++ b/src/dispatch/dispatcher/scheduling.rs
@@ -3,8 +3,8 @@
 //! Decides: the order over all destinations, and the time of the next look at each queue. Inputs:
 //! urgency of messages, latencies, free calls. Caller: [`Dispatcher::handle`].
 
-use super::admission::ANSWER_MARGIN;
 use super::*;
+use crate::dispatch::deadline::LEAST_TIME_TO_BEGIN;
 use crate::dispatch::statistics::{MS, SEC};
 use std::collections::VecDeque;
 
@@ -119,7 +119,7 @@
     /// When time alone changes what may be done with a message.
     fn changes_at(&self, now: Nanos, pending: &PendingMessage) -> Nanos {
         let class = self.class(&pending.message);
-        let mut changes_at = pending.deadline.saturating_sub(ANSWER_MARGIN);
+        let mut changes_at = pending.deadline.saturating_sub(LEAST_TIME_TO_BEGIN);
         if let (Effect::IdempotentWithKey, Some(run)) = (class.effect, pending.may_have_run) {
             changes_at = changes_at.min(run.sent_at + class.dedup_window);
         }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 //! - [`routing`]: which zones may serve a message, and in which order.
 //! - [`api`]: settings, events, actions.
 //! - [`statistics`]: time, rates and random draws.
+//! - [`deadline`]: what is still done as a message's time runs out.
 //! - [`slow_start`]: a sender's quota of calls to an endpoint that is back from an outage.
 //! - [`stale_connections`]: whether idle connections are to be trusted.
 //! - [`rate_quota`]: a sender's quota of a listed rate.
@@ -18,6 +19,7 @@
 //! - [`dispatcher`]: puts them together.
 
 pub mod api;
+pub mod deadline;
 pub mod dispatcher;
 mod endpoint_health;
 pub mod list_polling;
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -4,7 +4,7 @@
 use crate::delivery::endpoint::Endpoint;
 use crate::delivery::timer_wheel::TimerWheel;
 use crate::delivery::{AttemptReport, AttemptRequest, EndpointClient, Envelope, LocalBoxFuture};
-use crate::net::connection_listener::is_short;
+use crate::net::socket_error::{is_local, is_out_of_descriptors};
 use crate::net::stream::Stream;
 use crate::{EndpointAddress, Outcome};
 use futures_lite::{Future, FutureExt};
@@ -189,7 +189,9 @@
     async fn connect(&self, address: SocketAddr) -> io::Result<Link> {
         let mut stream = match Stream::connect(address).await {
             // A call goes before what is only kept.
-            Err(e) if is_short(&e) && self.give_up_oldest() => Stream::connect(address).await?,
+            Err(e) if is_out_of_descriptors(&e) && self.give_up_oldest() => {
+                Stream::connect(address).await?
+            }
             other => other?,
         };
         let told = self.dialect.greet(&mut stream).await?;
@@ -206,6 +208,7 @@
             endpoint: provider,
             envelope,
             timeout,
+            ends_at,
             authorize_send: go,
         } = call;
         let (address, deadline) = (provider.entry.address, Instant::now() + timeout);
@@ -218,6 +221,10 @@
                 .await
             {
                 Some(Ok(link)) => link,
+                Some(Err(e)) if is_local(&e) => {
+                    log::debug!("calls: {address}: not opened here: {e}");
+                    return Outcome::NotSent.into();
+                }
                 failed => {
                     log::debug!("calls: {address}: {:?}", failed.and_then(Result::err));
                     return Outcome::ConnectFailed.into();
@@ -256,7 +263,13 @@
                 }
             }
             let rest = self.dialect.answer(&mut link.stream, &mut known);
-            match self.wheel.timeout(REST_OF_ANSWER, rest).await {
+            // Its message's last moments are not the endpoint's to take, however it dribbles.
+            let rest_time = ends_at.saturating_duration_since(Instant::now());
+            match self
+                .wheel
+                .timeout(REST_OF_ANSWER.min(rest_time), rest)
+                .await
+            {
                 Some(Ok(Read::Interim)) => continue,
                 Some(Ok(Read::Whole)) if link.stream.buf.is_empty() => {
                     self.keep(provider.endpoint, link)
--- a/src/net/connection_listener.rs
+++ b/src/net/connection_listener.rs
@@ -10,16 +10,16 @@
 use crate::admission_control::connection_slots::{Places, Rules, Seating, Use, Why};
 use crate::delivery::client_quota::{Client, ClientQuotas};
 use crate::delivery::timer_wheel::TimerWheel;
+use crate::net::socket_error::{is_of_one_connection, is_out_of_descriptors};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use event_listener::{Event, EventListener};
 use futures_lite::{future, Future, FutureExt};
-use rustix::io::Errno;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::{self, Write};
+use std::io::Write;
 use std::net::{IpAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -141,9 +141,17 @@
     no: u64,
     /// Closed when its connection has to go.
     left: Receiver<()>,
+    /// When the first bytes of its connection were seen, where that was before it had this place.
+    brought_at: Cell<Option<Instant>>,
 }
 
 impl Seat {
+    /// When the connection's first request was seen to come, if it waited for its place since. Said
+    /// once: later requests are read as they come.
+    pub fn take_brought_at(&self) -> Option<Instant> {
+        self.brought_at.take()
+    }
+
     fn now(&self, what: Use) {
         self.seats
             .places
@@ -266,12 +274,16 @@
                     // One in a turn: what came with it is read, and others go on, before the next.
                     future::yield_now().await;
                 }
-                Err(e) if is_short(&e) => {
+                Err(e) if is_out_of_descriptors(&e) => {
                     if !self.without_descriptor(&listener, &*hall.port) {
                         wheel.sleep(LOOK).await;
                     }
                     future::yield_now().await;
                 }
+                Err(e) if is_of_one_connection(&e) => {
+                    log::debug!("accept: {e}");
+                    future::yield_now().await;
+                }
                 Err(e) => {
                     log::debug!("accept: {e}");
                     wheel.sleep(ACCEPT_REST).await;
@@ -350,6 +362,7 @@
                     seats: self.clone(),
                     no,
                     left,
+                    brought_at: Cell::default(),
                 }))
             }
             Seating::After(no) => {
@@ -422,13 +435,15 @@
 impl<S: Serve + 'static> AcceptQueue<S> {
     fn arrive(self: &Rc<Self>, socket: Async<TcpStream>, from: IpAddr) {
         let comes = self.brings(&socket);
+        let brought_at = (comes != Comes::Silent).then(Instant::now);
         // Listened for before anyone is told to leave, or that could have happened already.
         let freed = self.seats.freed.listen();
         match self.ask(from, comes) {
-            Ok(seat) => self
-                .executor
-                .spawn(hold(seat, self.port.clone(), socket))
-                .detach(),
+            Ok(seat) => {
+                seat.brought_at.set(brought_at);
+                let held = hold(seat, self.port.clone(), socket);
+                self.executor.spawn(held).detach();
+            }
             // A whole request has nothing more to say for itself.
             Err((why, wait)) if why != Why::Places && comes >= Comes::Whole => {
                 self.turn_away(socket, (why, wait));
@@ -514,6 +529,7 @@
     ) {
         let seats = &self.seats;
         let by = Instant::now() + LOBBY;
+        let mut brought_at = (comes != Comes::Silent).then(Instant::now);
         while Instant::now() < by {
             // One that came too often is only looked at again once it has brought more.
             let too_often = matches!(why, Why::AddressRate | Why::PrefixRate);
@@ -554,6 +570,7 @@
             let more = self.brings(&waiting.socket);
             let asked = if more != comes {
                 comes = more;
+                brought_at = brought_at.or_else(|| Some(Instant::now()));
                 seats
                     .lobby
                     .borrow_mut()
@@ -565,10 +582,13 @@
                 seats.seat(from, comes).map_err(|why| (why, COME_BACK))
             };
             match asked {
-                Ok(seat) => match waiting.leave() {
-                    Some(socket) => return hold(seat, self.port.clone(), socket).await,
-                    None => return,
-                },
+                Ok(seat) => {
+                    seat.brought_at.set(brought_at);
+                    match waiting.leave() {
+                        Some(socket) => return hold(seat, self.port.clone(), socket).await,
+                        None => return,
+                    }
+                }
                 Err(refused) => (why, wait) = refused,
             }
             if why != Why::Places && comes >= Comes::Whole {
@@ -611,11 +631,3 @@
     };
     port.serve(socket, seat.clone()).or(left).await;
 }
-
-/// Whether an error says that there is no descriptor.
-pub fn is_short(e: &io::Error) -> bool {
-    matches!(
-        e.raw_os_error().map(Errno::from_raw_os_error),
-        Some(Errno::MFILE | Errno::NFILE)
-    )
-}
--- a/src/net/dns/server.rs
+++ b/src/net/dns/server.rs
@@ -224,9 +224,7 @@
     }
 
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
-        let Ok(mut stream) = Stream::new(socket) else {
-            return;
-        };
+        let mut stream = Stream::new(socket);
         while let Some(Ok(Some(message))) = self.wheel.timeout(IDLE, read(&mut stream)).await {
             seat.busy();
             let Some(answer) = self.answer(&message) else {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod dns;
 pub mod mqtt;
 pub mod platform;
+mod socket_error;
 pub mod stream;
 
 use std::time::Duration;
--- a/src/net/mqtt/ingress.rs
+++ b/src/net/mqtt/ingress.rs
@@ -6,7 +6,7 @@
 use crate::admission_control::accept_queue::Comes;
 use crate::admission_control::connection_slots::Why;
 use crate::config::platform_settings::{Deployment, Tenants};
-use crate::delivery::message::{self, ClientReply, DeliveryContext};
+use crate::delivery::message::{self, ClientReply, DeliveryContext, TimeBudget};
 use crate::delivery::{duration, is_valid_identifier, Envelope, LocalBoxFuture, MAX_BODY_BYTES};
 use crate::net::connection_listener::{Seat, Serve, WITHOUT_TENANT};
 use crate::net::stream::{Stream, Writer};
@@ -25,7 +25,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A connection must greet within this time.
 const GREETING: Duration = Duration::from_millis(2500);
@@ -105,7 +105,7 @@
             };
             let answer = match packet {
                 Packet::Publish(publish) => {
-                    self.publish(session, publish).await?;
+                    self.publish(session, publish, stream.filled_at()).await?;
                     continue;
                 }
                 Packet::Puback(ack) => {
@@ -136,6 +136,7 @@
         &self,
         session: &Rc<Session>,
         publish: Publish,
+        received_at: Instant,
     ) -> Result<(), DisconnectReasonCode> {
         let pid = match publish.qos_pid {
             QosPid::Level1(pid) => pid,
@@ -157,7 +158,11 @@
         }
         session.asks(true);
         match self.message(publish) {
-            Ok((envelope, left)) => {
+            Ok((envelope, time_left)) => {
+                let time = TimeBudget {
+                    received_at,
+                    time_left,
+                };
                 if envelope.tenant == NO_TENANT {
                     session.counts(WITHOUT_TENANT);
                 }
@@ -166,7 +171,7 @@
                         self.context.clone(),
                         session.client(),
                         envelope,
-                        left,
+                        time,
                         answer,
                     ))
                     .detach();
@@ -269,9 +274,7 @@
 
 impl Serve for Port {
     async fn full(&self, socket: Async<TcpStream>, why: Why, wait: Duration) {
-        let Ok(mut stream) = Stream::new(socket) else {
-            return;
-        };
+        let mut stream = Stream::new(socket);
         // Only an answer to a CONNECT is one.
         let code = match why {
             Why::AddressRate | Why::PrefixRate => ConnectReasonCode::ConnectionRateExceeded,
@@ -312,9 +315,7 @@
     }
 
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
-        let Ok(mut stream) = Stream::new(socket) else {
-            return;
-        };
+        let mut stream = Stream::new(socket);
         let wheel = &self.context.wheel;
         let greeted = wheel.timeout(GREETING, read(&mut stream)).await;
         let writer = stream.writer(wheel.clone(), STUCK);
--- a/src/net/mqtt/sessions.rs
+++ b/src/net/mqtt/sessions.rs
@@ -6,7 +6,7 @@
 use super::packets::{encode, user};
 use crate::delivery::client_quota::Client;
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::delivery::{Envelope, Frontend, LocalBoxFuture, Verdict};
+use crate::delivery::{Envelope, FinalAnswer, Frontend, LocalBoxFuture, Verdict};
 use crate::net::connection_listener::Seat;
 use crate::net::stream::Writer;
 use async_channel::{Receiver, Sender};
@@ -434,7 +434,7 @@
     fn send_final_answer<'a>(
         &'a self,
         envelope: &'a Envelope,
-        verdict: Verdict,
+        FinalAnswer { verdict, .. }: FinalAnswer,
     ) -> LocalBoxFuture<'a, ()> {
         async move {
             // Without a Response Topic nobody wants to know.
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -4,7 +4,7 @@
 use crate::admission_control::accept_queue::Comes;
 use crate::admission_control::connection_slots::Why;
 use crate::config::platform_settings::{Deployment, Tenants, UnknownTenant};
-use crate::delivery::message::{self, ClientReply, DeliveryContext};
+use crate::delivery::message::{self, ClientReply, DeliveryContext, TimeBudget};
 use crate::delivery::timer_wheel::TimerWheel;
 use crate::delivery::{is_valid_identifier, Envelope, LocalBoxFuture};
 use crate::net::connection_listener::{Seat, Serve, WITHOUT_TENANT};
@@ -19,7 +19,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A connection without a request is closed after this time.
 const IDLE: Duration = Duration::from_secs(2);
@@ -79,6 +79,14 @@
     }
 }
 
+/// A request as it was read.
+struct ReceivedRequest {
+    head: Request,
+    body: Vec<u8>,
+    /// When its first bytes were seen.
+    begun_at: Instant,
+}
+
 /// The port for clients.
 pub struct Ingress {
     context: Rc<DeliveryContext>,
@@ -126,7 +134,7 @@
         &self,
         stream: &mut Stream,
         seat: &Seat,
-    ) -> Result<Option<(Request, Vec<u8>)>, Refusal> {
+    ) -> Result<Option<ReceivedRequest>, Refusal> {
         let whole = async {
             if stream.buf.is_empty() {
                 let more = async { stream.fill().await.unwrap_or(false) };
@@ -141,6 +149,7 @@
                 }
             }
             seat.begun();
+            let begun_at = seat.take_brought_at().unwrap_or(stream.filled_at());
             let (request, len) = loop {
                 if let Some(head) = http::request(&stream.buf)? {
                     break head;
@@ -164,7 +173,11 @@
             let body = stream.buf[len..len + request.length].to_vec();
             stream.buf.drain(..len + request.length);
             seat.busy();
-            Ok(Some((request, body)))
+            Ok(Some(ReceivedRequest {
+                head: request,
+                body,
+                begun_at,
+            }))
         };
         self.context
             .wheel
@@ -239,9 +252,7 @@
 
 impl Serve for Ingress {
     async fn full(&self, socket: Async<TcpStream>, _: Why, wait: Duration) {
-        let Ok(mut stream) = Stream::new(socket) else {
-            return;
-        };
+        let mut stream = Stream::new(socket);
         let _ = stream.send(&self.full_at_once(wait)).await;
         stream.part().await;
     }
@@ -259,21 +270,24 @@
     }
 
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
-        let Ok(mut stream) = Stream::new(socket) else {
-            return;
-        };
+        let mut stream = Stream::new(socket);
         let client = seat.client();
         // Whether a message was taken on over it.
         let mut useful = false;
         loop {
             let read = self.read(&mut stream, &seat).await.and_then(|read| {
-                let Some((request, body)) = read else {
+                let Some(ReceivedRequest {
+                    head,
+                    body,
+                    begun_at,
+                }) = read
+                else {
                     return Ok(None);
                 };
-                let keep = request.keep_alive && !self.last_answers.get();
-                Ok(Some((self.message(&request, body)?, keep)))
+                let keep = head.keep_alive && !self.last_answers.get();
+                Ok(Some((self.message(&head, body)?, begun_at, keep)))
             });
-            let (message, keep) = match read {
+            let (message, received_at, keep) = match read {
                 Ok(Some(read)) => read,
                 Ok(None) => return,
                 Err(refusal) => {
@@ -299,15 +313,19 @@
                 wheel: self.context.wheel.clone(),
             };
             match message {
-                Some((envelope, left)) => {
+                Some((envelope, time_left)) => {
                     if envelope.tenant == NO_TENANT {
                         seat.counts(WITHOUT_TENANT);
                     }
+                    let time = TimeBudget {
+                        received_at,
+                        time_left,
+                    };
                     let work = message::receive(
                         self.context.clone(),
                         client.clone(),
                         envelope,
-                        left,
+                        time,
                         Box::new(answer),
                     );
                     self.executor.spawn(work).detach();
--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -1,35 +1,74 @@
 //! Final answers to the platform: sent again until they are heard.
+//!
+//! Several requests may be out at once, each over a connection of its own: a message's time does
+//! not wait, so a notice must not wait behind another one that the platform is slow to hear.
 
 use super::discovery::Discovery;
 use super::http;
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::delivery::{Envelope, Frontend, LocalBoxFuture, Verdict, MAX_BODY_BYTES};
+use crate::delivery::{Envelope, FinalAnswer, Frontend, LocalBoxFuture, Verdict, MAX_BODY_BYTES};
 use crate::net::stream::Stream;
 use async_channel::{Receiver, Sender};
-use futures_lite::FutureExt;
+use futures_lite::{future, FutureExt};
 use serde_json::json;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// A notice is answered right away; what takes longer is lost.
-const ANSWER: Duration = Duration::from_millis(1000);
+/// Requests that may be out at once.
+pub const MAX_REQUESTS: usize = 3;
+/// First and longest time that an answer is waited for. A notice is answered right away: what takes
+/// longer is probably lost, and told twice, a notice does no harm.
+const ANSWER_TIMEOUT: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_millis(1000));
 /// First and longest rest before notices go again.
 const REST: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// Most notices in one request.
-const MOST: usize = 200;
+const MAX_BATCH: usize = 200;
+/// What was queued for longer before it was heard is worth a line in the log.
+const SLOW: Duration = Duration::from_millis(250);
 
+/// A notice that waits to be heard.
 struct Notice {
+    id: String,
     line: String,
+    queued_at: Instant,
     heard: Sender<()>,
 }
 
+/// Why a request did not bring its notices to the platform.
+#[derive(Debug, thiserror::Error)]
+enum PostError {
+    #[error("answered {0}")]
+    Status(u16),
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error("no answer in {0:?}")]
+    NoAnswer(Duration),
+}
+
+/// What became of one request.
+enum Posted {
+    Heard,
+    /// Sent again, it would be as unreadable: whoever waits is let go.
+    Unreadable,
+    /// The platform is at another address now.
+    Moved,
+    Failed(PostError),
+}
+
+/// A connection that has carried a request, and may carry another one.
+type IdleConnection = (SocketAddr, Stream);
+
 /// The way back to the platform.
 pub struct Notices {
     queue: (Sender<Notice>, Receiver<Notice>),
     discovery: Rc<Discovery>,
     wheel: Rc<TimerWheel>,
+    idle: RefCell<Vec<IdleConnection>>,
+    in_flight: Cell<usize>,
 }
 
 impl Notices {
@@ -39,50 +78,84 @@
             queue: async_channel::unbounded(),
             discovery,
             wheel,
+            idle: RefCell::default(),
+            in_flight: Cell::default(),
         })
     }
 
-    /// Notices that wait to be sent.
+    /// Notices that wait to be sent or heard.
     pub fn waiting(&self) -> usize {
-        self.queue.1.len()
+        self.queue.1.len() + self.in_flight.get()
     }
 
     /// Sends what is queued, for ever.
     pub async fn run(&self) {
-        let (mut stream, mut rest) = (None, REST.0);
+        let all: [_; MAX_REQUESTS] = std::array::from_fn(|_| self.post_queued());
+        let [first, second, third] = all;
+        future::zip(first, future::zip(second, third)).await;
+    }
+
+    /// Sends one batch after another, each until it is heard.
+    async fn post_queued(&self) {
         while let Ok(first) = self.queue.1.recv().await {
             let mut batch = vec![first];
-            batch.extend(std::iter::from_fn(|| self.queue.1.try_recv().ok()).take(MOST - 1));
-            let body: String = batch.iter().map(|n| n.line.as_str()).collect();
-            loop {
-                let posted = self.wheel.timeout(ANSWER, self.post(&mut stream, &body));
-                match self.discovery.while_there(posted).await {
-                    // Heard at the old address or not: told twice, a notice does no harm.
-                    None => continue,
-                    Some(Some(Ok(204))) => break,
-                    // Sent again, it would be as unreadable: whoever waits is let go.
-                    Some(Some(Ok(400))) => {
-                        break log::error!("notices: not readable to the platform: {body}")
-                    }
-                    Some(Some(Ok(status))) => log::warn!("notices: answered {status}"),
-                    Some(Some(Err(e))) => log::warn!("notices: {e}"),
-                    Some(None) => log::warn!("notices: no answer"),
-                }
-                stream = None;
-                let rested = self.discovery.while_there(self.wheel.sleep(rest)).await;
-                rest = rested.map_or(REST.0, |()| (rest * 2).min(REST.1));
-            }
-            rest = REST.0;
+            batch.extend(std::iter::from_fn(|| self.queue.1.try_recv().ok()).take(MAX_BATCH - 1));
+            self.in_flight.set(self.in_flight.get() + batch.len());
+            self.post_until_heard(&batch).await;
+            self.in_flight.set(self.in_flight.get() - batch.len());
             for notice in &batch {
                 let _ = notice.heard.try_send(());
             }
         }
     }
 
-    async fn post(&self, kept: &mut Option<(SocketAddr, Stream)>, body: &str) -> io::Result<u16> {
+    async fn post_until_heard(&self, batch: &[Notice]) {
+        let body: String = batch.iter().map(|notice| notice.line.as_str()).collect();
+        let (first, count) = (&batch[0], batch.len());
+        let (mut rest, mut answer_timeout) = (REST.0, ANSWER_TIMEOUT.0);
+        loop {
+            let failure = match self.post_once(&body, answer_timeout).await {
+                Posted::Heard => break,
+                Posted::Unreadable => {
+                    log::error!("notices: not readable to the platform: {body}");
+                    break;
+                }
+                Posted::Moved => {
+                    log::info!("notices: {count} from {} go to the new address", first.id);
+                    (rest, answer_timeout) = (REST.0, ANSWER_TIMEOUT.0);
+                    continue;
+                }
+                Posted::Failed(failure) => failure,
+            };
+            log::warn!("notices: {failure}; {count} from {} go again", first.id);
+            answer_timeout = (answer_timeout * 2).min(ANSWER_TIMEOUT.1);
+            let rested = self.discovery.while_there(self.wheel.sleep(rest)).await;
+            rest = rested.map_or(REST.0, |()| (rest * 2).min(REST.1));
+        }
+        let waited = first.queued_at.elapsed();
+        if waited > SLOW {
+            log::info!("notices: {count} from {} heard after {waited:?}", first.id);
+        }
+    }
+
+    /// Sends a request, and waits for its answer for a time.
+    async fn post_once(&self, body: &str, answer_timeout: Duration) -> Posted {
+        let post = self.wheel.timeout(answer_timeout, self.post(body));
+        let failure = match self.discovery.while_there(post).await {
+            None => return Posted::Moved,
+            Some(Some(Ok(204))) => return Posted::Heard,
+            Some(Some(Ok(400))) => return Posted::Unreadable,
+            Some(Some(Ok(status))) => PostError::Status(status),
+            Some(Some(Err(e))) => e.into(),
+            Some(None) => PostError::NoAnswer(answer_timeout),
+        };
+        Posted::Failed(failure)
+    }
+
+    async fn post(&self, body: &str) -> io::Result<u16> {
         let (address, length) = (self.discovery.address(), body.len());
-        let mut stream = match kept.take().filter(|(at, s)| *at == address && s.is_quiet()) {
-            Some((_, stream)) => stream,
+        let mut stream = match self.take_idle(address) {
+            Some(stream) => stream,
             None => Stream::connect(address).await?,
         };
         let request =
@@ -90,23 +163,39 @@
         stream.send(request.as_bytes()).await?;
         let answer = http::read_response(&mut stream).await?;
         http::read_body(&mut stream, answer.body, MAX_BODY_BYTES).await?;
-        *kept = Some((address, stream)).filter(|_| answer.keep_alive);
+        if answer.keep_alive {
+            self.idle.borrow_mut().push((address, stream));
+        }
         Ok(answer.status)
     }
+
+    /// An idle connection to this address, the one used last; those that are of no use any more are
+    /// closed.
+    fn take_idle(&self, address: SocketAddr) -> Option<Stream> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|(at, stream)| *at == address && stream.is_quiet());
+        idle.pop().map(|(_, stream)| stream)
+    }
 }
 
 impl Frontend for Notices {
     fn send_final_answer<'a>(
         &'a self,
         envelope: &'a Envelope,
-        verdict: Verdict,
+        answer: FinalAnswer,
     ) -> LocalBoxFuture<'a, ()> {
-        let Some(line) = line(&envelope.id, verdict) else {
+        let Some(line) = line(&envelope.id, answer) else {
             return async {}.boxed_local();
         };
         let (heard, hears) = async_channel::bounded(1);
+        let notice = Notice {
+            id: envelope.id.clone(),
+            line,
+            queued_at: Instant::now(),
+            heard,
+        };
         async move {
-            if self.queue.0.try_send(Notice { line, heard }).is_ok() {
+            if self.queue.0.try_send(notice).is_ok() {
                 let _ = hears.recv().await;
             }
         }
@@ -114,11 +203,13 @@
     }
 }
 
-/// The line for a verdict; a delivery is known to the platform and needs none.
-fn line(id: &str, verdict: Verdict) -> Option<String> {
-    let notice = match verdict {
-        Verdict::Delivered => return None,
-        Verdict::Undeliverable => json!({"id": id, "status": "undeliverable"}),
+/// The line for a final answer. A delivery is known to the platform and needs none, unless the
+/// platform may count it as too late; then its message has failed, and one that did not is not
+/// harmed by the notice.
+fn line(id: &str, answer: FinalAnswer) -> Option<String> {
+    let notice = match answer.verdict {
+        Verdict::Delivered if !answer.crosses_end => return None,
+        Verdict::Delivered | Verdict::Undeliverable => json!({"id": id, "status": "undeliverable"}),
         Verdict::Deferred { retry_after_ms: 0 } => json!({"id": id, "status": "deferred"}),
         Verdict::Deferred {
             retry_after_ms: again_ms,
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -7,7 +7,7 @@
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Most bytes read and dropped on a connection that is to close.
 const LEFTOVERS: usize = 64 << 20;
@@ -17,35 +17,46 @@
     socket: Rc<Async<TcpStream>>,
     /// What was read and not yet used.
     pub buf: Vec<u8>,
+    filled_at: Instant,
 }
 
 impl Stream {
     /// Opens a connection.
     pub async fn connect(address: SocketAddr) -> io::Result<Self> {
-        Stream::new(Async::<TcpStream>::connect(address).await?)
+        Ok(Stream::new(Async::<TcpStream>::connect(address).await?))
     }
 
     /// Takes a connection that was made.
-    pub fn new(socket: Async<TcpStream>) -> io::Result<Self> {
-        // Each message is one write and waits for its answer: there is nothing to gather.
-        socket.get_ref().set_nodelay(true)?;
-        Ok(Stream {
+    pub fn new(socket: Async<TcpStream>) -> Self {
+        // Each message is one write and waits for its answer: there is nothing to gather. Refused,
+        // that costs some time; a connection that was made is served all the same.
+        if let Err(e) = socket.get_ref().set_nodelay(true) {
+            log::debug!("stream: {e}");
+        }
+        Stream {
             socket: Rc::new(socket),
             buf: Vec::new(),
-        })
+            filled_at: Instant::now(),
+        }
     }
 
     /// Reads more; false at the end of what the other side sends.
     pub async fn fill(&mut self) -> io::Result<bool> {
         let mut chunk = [0; 8192];
-        let n = (&*self.socket).read(&mut chunk).await?;
+        let n = read(&self.socket, &mut chunk).await?;
         self.buf.extend_from_slice(&chunk[..n]);
+        self.filled_at = Instant::now();
         Ok(n > 0)
     }
 
+    /// When it was last read from: what is in [`Stream::buf`] came then or before.
+    pub fn filled_at(&self) -> Instant {
+        self.filled_at
+    }
+
     /// Writes all of it.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
-        (&*self.socket).write_all(bytes).await
+        write_all(&self.socket, bytes).await
     }
 
     /// A second hand on the connection, for writing while this one reads. What it writes goes
@@ -70,7 +81,7 @@
     pub async fn part(self) {
         let _ = self.socket.get_ref().shutdown(Shutdown::Write);
         let (mut chunk, mut left) = (vec![0; 64 * 1024], LEFTOVERS);
-        while let Ok(n @ 1..) = (&*self.socket).read(&mut chunk).await {
+        while let Ok(n @ 1..) = read(&self.socket, &mut chunk).await {
             left = left.saturating_sub(n);
             if left == 0 {
                 return;
@@ -87,6 +98,31 @@
     }
 }
 
+/// Reads once. A signal may interrupt that, which says nothing of the connection.
+async fn read(socket: &Async<TcpStream>, into: &mut [u8]) -> io::Result<usize> {
+    let mut socket = socket;
+    loop {
+        match socket.read(into).await {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
+}
+
+/// Writes all of it, however short and interrupted the writes are.
+async fn write_all(socket: &Async<TcpStream>, mut bytes: &[u8]) -> io::Result<()> {
+    let mut socket = socket;
+    while !bytes.is_empty() {
+        match socket.write(bytes).await {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// Writes to a connection that another hand reads from.
 pub struct Writer {
     socket: Rc<Async<TcpStream>>,
@@ -102,7 +138,7 @@
         let _turn = self.turn.lock().await;
         let sent = self
             .wheel
-            .timeout(self.patience, (&*self.socket).write_all(bytes))
+            .timeout(self.patience, write_all(&self.socket, bytes))
             .await;
         sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
             .inspect_err(|_| {
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -262,10 +262,11 @@
 }
 
 /// The modules of the decision module; each names only those before it.
-const DISPATCH: [&str; 11] = [
+const DISPATCH: [&str; 12] = [
     "routing",
     "api",
     "statistics",
+    "deadline",
     "slow_start",
     "stale_connections",
     "rate_quota",
--- a/tests/message_delivery.rs
+++ b/tests/message_delivery.rs
@@ -11,11 +11,12 @@
 use raildeal::delivery::endpoint::{Endpoint, EndpointEntry, EndpointListUpdate};
 use raildeal::delivery::endpoint_directory::EndpointDirectory;
 use raildeal::delivery::journal::{Durability, Journal, JournalOptions, MessageRecord, OpenRecord};
-use raildeal::delivery::message::{receive, resume, ClientReply, DeliveryContext};
+use raildeal::delivery::message::{receive, resume, ClientReply, DeliveryContext, TimeBudget};
 use raildeal::delivery::policies::PolicySet;
 use raildeal::delivery::timer_wheel::TimerWheel;
 use raildeal::delivery::{
-    AttemptReport, AttemptRequest, EndpointClient, Envelope, Frontend, LocalBoxFuture, Verdict,
+    AttemptReport, AttemptRequest, EndpointClient, Envelope, FinalAnswer, Frontend, LocalBoxFuture,
+    Verdict,
 };
 use raildeal::dispatch::routing::{RouteSpec, Routes, WeightedZones};
 use raildeal::store::faulty::FaultyDisk;
@@ -111,9 +112,9 @@
     fn send_final_answer<'a>(
         &'a self,
         _: &'a Envelope,
-        verdict: Verdict,
+        answer: FinalAnswer,
     ) -> LocalBoxFuture<'a, ()> {
-        self.final_answers.borrow_mut().push(verdict);
+        self.final_answers.borrow_mut().push(answer.verdict);
         Box::pin(async {})
     }
 
@@ -267,7 +268,11 @@
             time_left,
         } = message;
         let context = self.context.clone();
-        receive(context, client, envelope, time_left, Box::new(reply)).await;
+        let time = TimeBudget {
+            received_at: Instant::now(),
+            time_left,
+        };
+        receive(context, client, envelope, time, Box::new(reply)).await;
     }
 
     /// Ends with the first attempt.
