Keep times over steps of the wall clock, and add a soak under all faults at once

Clock: a restarted process reckoned by the wall clock what had passed. Stepped back by an hour, a message was held past its end; stepped forward, it was given up at once and repeats looked too old. Times in the state folder go by a clock now that goes on with the machine's monotonic one (persistent_clock.rs, note 'clock').

Accept: ENFILE is the system's want and passes, so the connection waits in the queue; a descriptor is given up only for EMFILE.

Soak: raildeal-simulator fleet soak plays processes with kept connections, restarts at the protocol's earliest, series of signals, crowds, endpoints that answer at the end or announce without end, lines that fail, and a library of our own before the C library for clock, files and sockets.

--- a/simulator/src/main.rs
+++ b/simulator/src/main.rs
@@ -19,11 +19,13 @@
 use raildeal_test_harness::policy;
 use raildeal_test_harness::record::Verdict;
 use raildeal_test_harness::scenario::{self, Scenario};
-use raildeal_test_harness::{steps, zone};
+use raildeal_test_harness::{soak, steps, zone};
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
 use std::time::Duration;
 
 /// A model of what raildeal balances, a tool for load, and experiments.
@@ -110,8 +112,10 @@
         /// with keepers and comes back cold. `policy`: rules are rolled out zone by zone, then
         /// others, and those go back. `table`: several sites agree on a routing table and then on
         /// another one; one is refused, and one ended. `steps`: a zone dies, and people order, once
-        /// for each step that senders and keepers log and each participant that is lost at it. Else
-        /// a file with a schedule.
+        /// for each step that senders and keepers log and each participant that is lost at it.
+        /// `soak`: a few processes under all faults at once, clocks, files and system calls
+        /// included, one play for each of `--runs` seeds from `--seed` on. Else a file with a
+        /// schedule.
         scenario: String,
         /// Processes; what the file says, where one is played.
         #[arg(long)]
@@ -427,6 +431,33 @@
     Ok(sum.is_good())
 }
 
+/// Plays `soak` for so many seeds, some at once; each outcome is told as it comes.
+fn soaks(program: &Path, first_seed: u64, runs: usize, jobs: usize) -> Result<bool, String> {
+    let next = AtomicUsize::new(0);
+    let good = AtomicUsize::new(0);
+    let play_some = || -> Result<(), String> {
+        loop {
+            let run = next.fetch_add(1, Ordering::SeqCst);
+            if run >= runs {
+                return Ok(());
+            }
+            let plan = soak::plan(program, first_seed + run as u64);
+            let outcome = soak::play(&plan).map_err(|e| e.to_string())?;
+            last("soak", plan.senders, plan.seed, &outcome);
+            good.fetch_add(usize::from(outcome.is_good()), Ordering::SeqCst);
+        }
+    };
+    thread::scope(|scope| {
+        let players: Vec<_> = (0..jobs.max(1)).map(|_| scope.spawn(play_some)).collect();
+        players
+            .into_iter()
+            .try_for_each(|player| player.join().map_err(|_| "a player panicked".to_string())?)
+    })?;
+    let good = good.load(Ordering::SeqCst);
+    eprintln!("soak: {good} of {runs} seeds without a broken rule");
+    Ok(good == runs)
+}
+
 fn policies(plan: &policy::Plan) -> Result<bool, String> {
     let played = policy::play(plan).map_err(|e| e.to_string())?;
     last("policy", plan.senders, plan.seed, &played);
@@ -624,6 +655,7 @@
                     };
                     return exit(each_step(&plan));
                 }
+                "soak" => return exit(soaks(&program, seed, runs, jobs)),
                 "policy" => {
                     let plan = policy::plan(&program, senders.unwrap_or(SENDERS), seed);
                     return exit(policies(&policy::Plan {
--- a/src/coordination/replica/start.rs
+++ b/src/coordination/replica/start.rs
@@ -7,13 +7,14 @@
 use crate::coordination::replica::accept::Acceptor;
 use crate::coordination::replica::{draw, sites, Context, Incoming, Replica, Stage};
 use crate::delivery::timer_wheel::TimerWheel;
+use crate::process_signals::ProcessSignals;
 use crate::store::disk::Folder;
 use crate::store::worker::{Offloaded, Worker};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use async_signal::{Signal, Signals};
-use futures_lite::{FutureExt, StreamExt};
+use async_signal::Signal;
+use futures_lite::FutureExt;
 use rustix::fs::{flock, FlockOperation};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use std::collections::{BTreeMap, BTreeSet};
@@ -118,7 +119,7 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
     let mut ending =
-        Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+        ProcessSignals::new(&[Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let listener = listen(&config)?;
     let wheel = TimerWheel::new();
     let (inbox, coming) = async_channel::bounded(INBOX);
@@ -139,7 +140,7 @@
     replica.begin().await?;
     replica.check_federation()?;
     let ended = async {
-        ending.next().await;
+        ending.received().await;
         Ok(())
     };
     let ended = replica.run(&coming, None).or(ended).await;
--- a/src/delivery/journal/inspect.rs
+++ b/src/delivery/journal/inspect.rs
@@ -4,10 +4,11 @@
 //! those of [`JournalInspection`] as it is serialized.
 
 use super::legacy_v1;
+use super::persistent_clock::PersistentClock;
 use super::record::MessageRecord;
 use super::replay::JournalReplay;
 use super::wall_clock::WallClock;
-use crate::delivery::{unix_ms, Verdict};
+use crate::delivery::Verdict;
 use crate::store::disk::Folder;
 use crate::store::frame;
 use crate::store::recover::{self, segment_file_name, RecoveredLog, RecoveredSegment};
@@ -167,7 +168,7 @@
     damage.extend(recovered.damage.iter().map(ToString::to_string));
     let segments = summarize_segments(&recovered);
     let wall_clock = WallClock {
-        now_unix_ms: unix_ms(),
+        now_unix_ms: PersistentClock::open(folder, 0).now_unix_ms(),
         newest_unix_ms: 0,
     };
     Ok(JournalInspection {
--- a/src/delivery/journal/mod.rs
+++ b/src/delivery/journal/mod.rs
@@ -28,8 +28,8 @@
 //!
 //! The parts: [`open`] (lock, upgrade, recovery), `replay`, `state` (log and records together),
 //! `open_record` (one message's steps), `maintenance` (cleaning and late writes), `group_sync`,
-//! [`record`] and `event` (the bytes), [`legacy_v1`], [`inspect`], [`restart_state`] and
-//! [`wall_clock`].
+//! [`record`] and `event` (the bytes), [`legacy_v1`], [`inspect`], [`restart_state`],
+//! [`persistent_clock`] (the times that are written) and [`wall_clock`] (what they mean later).
 
 mod event;
 mod group_sync;
@@ -38,6 +38,7 @@
 mod maintenance;
 mod open;
 mod open_record;
+pub mod persistent_clock;
 pub mod record;
 mod record_table;
 mod replay;
@@ -45,13 +46,14 @@
 mod state;
 pub mod wall_clock;
 
-use crate::delivery::{unix_ms, Envelope};
+use crate::delivery::Envelope;
 use crate::store::capacity::{GateChange, Occupancy};
 use crate::store::frame;
 use crate::store::log::{LogOptions, LogStatistics, PutError};
 use crate::store::worker::Worker;
 use group_sync::SyncProgress;
 pub use open_record::{OpenRecord, RecordedRun};
+use persistent_clock::PersistentClock;
 pub use record::{AttemptStart, MessageRecord};
 use serde::Deserialize;
 use state::JournalState;
@@ -132,6 +134,7 @@
     state: RefCell<JournalState>,
     options: JournalOptions,
     monotonic_clock: MonotonicClock,
+    clock: PersistentClock,
     wall_clock: WallClock,
     worker: Option<Worker>,
     sync: SyncProgress,
@@ -152,7 +155,8 @@
         policy: u64,
         table: u64,
     ) -> Result<OpenRecord, PutError> {
-        let record = MessageRecord::accepted(envelope, unix_ms(), time_left, policy, table);
+        let now_unix_ms = self.clock.now_unix_ms();
+        let record = MessageRecord::accepted(envelope, now_unix_ms, time_left, policy, table);
         let data = record.encode();
         let reserved_bytes = reserved_bytes(&data);
         let state = &mut *self.state.borrow_mut();
@@ -172,6 +176,11 @@
         self.state.borrow().log.capacity_gate().retry_after()
     }
 
+    /// The clock that all times in this folder go by.
+    pub fn clock(&self) -> PersistentClock {
+        self.clock
+    }
+
     /// What the store has done so far.
     pub fn statistics(&self) -> LogStatistics {
         self.state.borrow().log.statistics()
--- a/src/delivery/journal/open.rs
+++ b/src/delivery/journal/open.rs
@@ -2,12 +2,12 @@
 
 use super::group_sync::SyncProgress;
 use super::legacy_v1;
+use super::persistent_clock::PersistentClock;
 use super::record_table::RecordTable;
 use super::replay::JournalReplay;
 use super::state::JournalState;
 use super::wall_clock::WallClock;
 use super::{Journal, JournalOptions, MonotonicClock, OpenRecord};
-use crate::delivery::unix_ms;
 use crate::store::disk::{Disk, Folder};
 use crate::store::log::{LegacyFile, OpenedLog, SegmentLog};
 use crate::store::worker::Worker;
@@ -41,11 +41,13 @@
         let _ = fs::remove_file(folder.join(legacy_v1::UNFINISHED_FILE_NAME));
         let start = Instant::now();
         let disk = Arc::new(Folder::new(folder));
-        let clock = Box::new(move || start.elapsed());
-        Journal::open_on(disk, options, legacy, locks, clock)
+        let monotonic_clock = Box::new(move || start.elapsed());
+        let clock = |newest_unix_ms| PersistentClock::open(folder, newest_unix_ms);
+        Journal::open_on(disk, options, legacy, locks, monotonic_clock, clock)
     }
 
-    /// Opens it on any disk. `legacy` has the bytes of the [`legacy_v1`] file, if there is one.
+    /// Opens it on any disk. `legacy` has the bytes of the [`legacy_v1`] file, if there is one;
+    /// `clock` is given the newest time that was found written.
     ///
     /// # Errors
     /// As [`Journal::open`].
@@ -55,6 +57,7 @@
         legacy: Option<Vec<u8>>,
         locks: Vec<File>,
         monotonic_clock: MonotonicClock,
+        clock: impl FnOnce(u64) -> PersistentClock,
     ) -> io::Result<(Rc<Self>, Vec<OpenRecord>)> {
         let mut replay = JournalReplay::new(options.cached_body_bytes);
         let legacy = legacy
@@ -68,9 +71,11 @@
             JournalReplay::reserved_bytes,
         )?;
         log_recovery(&opened, replay.in_doubt());
+        let newest_unix_ms = replay.newest_unix_ms();
+        let clock = clock(newest_unix_ms);
         let wall_clock = WallClock {
-            now_unix_ms: unix_ms(),
-            newest_unix_ms: replay.newest_unix_ms(),
+            now_unix_ms: clock.now_unix_ms(),
+            newest_unix_ms,
         };
         log_clock(&wall_clock);
         let worker = options.needs_worker().then(Worker::start).transpose()?;
@@ -87,6 +92,7 @@
             state: RefCell::new(state),
             options,
             monotonic_clock,
+            clock,
             wall_clock,
             worker,
             sync: SyncProgress::default(),
--- a/src/delivery/journal/open_record.rs
+++ b/src/delivery/journal/open_record.rs
@@ -3,8 +3,9 @@
 use super::event::JournalEvent;
 use super::record::{AttemptStart, MessageRecord};
 use super::record_table::RecordEntry;
+use super::wall_clock::WallClock;
 use super::Journal;
-use crate::delivery::{unix_ms, Envelope, Verdict};
+use crate::delivery::{Envelope, Verdict};
 use crate::store::log::ItemReader;
 use std::io;
 use std::rc::Rc;
@@ -100,11 +101,14 @@
         })
     }
 
-    /// The time that the message has left, as an earlier process wrote it down.
+    /// The time that the message has left now, as an earlier process wrote it down.
     pub fn time_left(&self) -> Duration {
         self.with_entry(|entry| {
             let record = &entry.record;
-            let clock = &self.journal.wall_clock;
+            let clock = WallClock {
+                now_unix_ms: self.journal.clock.now_unix_ms(),
+                ..self.journal.wall_clock
+            };
             clock.time_left(record.accepted_unix_ms, record.expires_unix_ms)
         })
     }
@@ -128,7 +132,7 @@
     /// It could not be written: the attempt must not go.
     pub fn attempt_started(&self, zone: &str) -> io::Result<()> {
         let start = AttemptStart {
-            at_unix_ms: unix_ms(),
+            at_unix_ms: self.journal.clock.now_unix_ms(),
             zone: zone.to_string(),
         };
         let mut state = self.journal.state.borrow_mut();
--- /dev/null
+++ b/src/delivery/journal/persistent_clock/tests.rs
@@ -0,0 +1,115 @@
+use super::*;
+use tempfile::TempDir;
+
+const BOOT: &str = "7d3c";
+
+fn readings(wall_unix_ms: u64, boot_id: &str, ms: u64) -> ClockReadings {
+    let monotonic = MonotonicTime {
+        boot_id: boot_id.into(),
+        ms,
+    };
+    ClockReadings {
+        wall_unix_ms,
+        monotonic: Some(monotonic),
+    }
+}
+
+/// The time that a process begins with that finds the clocks so; it notes its own.
+fn opened(folder: &TempDir, newest_unix_ms: u64, now: &ClockReadings) -> u64 {
+    let clock = PersistentClock::open_at(folder.path(), newest_unix_ms, now);
+    let _ = note_at(folder.path(), clock.unix_ms_at_start, now);
+    clock.unix_ms_at_start
+}
+
+#[test]
+fn the_machines_monotonic_clock_is_read_and_runs_on() {
+    let before = monotonic_ms().expect("an Instant says its seconds");
+    std::thread::sleep(Duration::from_millis(20));
+    let passed = monotonic_ms().expect("an Instant says its seconds") - before;
+    assert!((20..2_000).contains(&passed), "{passed} ms");
+}
+
+#[test]
+fn a_step_of_the_wall_clock_between_two_processes_moves_nothing() {
+    for stepped_to in [0, 6_400, 400_000, 4_600_000] {
+        let folder = TempDir::new().expect("a folder");
+        assert_eq!(
+            opened(&folder, 0, &readings(1_000_000, BOOT, 500)),
+            1_000_000
+        );
+        let next = readings(stepped_to, BOOT, 700);
+        assert_eq!(opened(&folder, 1_000_150, &next), 1_000_200);
+        let last = readings(1_000_000, BOOT, 900);
+        assert_eq!(opened(&folder, 1_000_250, &last), 1_000_400);
+    }
+}
+
+#[test]
+fn another_boot_or_a_clock_that_did_not_run_on_begins_with_the_wall_clock() {
+    let folder = TempDir::new().expect("a folder");
+    assert_eq!(
+        opened(&folder, 0, &readings(1_000_000, BOOT, 500)),
+        1_000_000
+    );
+    assert_eq!(
+        opened(&folder, 0, &readings(2_000_000, "8e", 900)),
+        2_000_000
+    );
+    // Each such start leaves a note that the next one goes on from.
+    assert_eq!(opened(&folder, 0, &readings(9, "8e", 950)), 2_000_050);
+    assert_eq!(
+        opened(&folder, 0, &readings(3_000_000, "8e", 100)),
+        3_000_000
+    );
+    // A later time was written than the monotonic clock has come to.
+    assert_eq!(
+        opened(&folder, 3_000_500, &readings(3_000_600, "8e", 101)),
+        3_000_600
+    );
+}
+
+#[test]
+fn without_a_monotonic_clock_the_wall_clock_counts() {
+    let folder = TempDir::new().expect("a folder");
+    assert_eq!(
+        opened(&folder, 0, &readings(1_000_000, BOOT, 500)),
+        1_000_000
+    );
+    let now = ClockReadings {
+        wall_unix_ms: 5_000_000,
+        monotonic: None,
+    };
+    assert_eq!(opened(&folder, 0, &now), 5_000_000);
+}
+
+#[test]
+fn a_note_that_is_half_written_or_cannot_be_written_does_not_count() {
+    let folder = TempDir::new().expect("a folder");
+    let begin = readings(1_000_000, BOOT, 500);
+    let file = folder.path().join(FILE_NAME);
+    opened(&folder, 0, &begin);
+    let whole = fs::read_to_string(&file).expect("a note");
+    for length in 0..whole.len() {
+        fs::write(&file, &whole[..length]).expect("written");
+        let next = readings(7_000_000, BOOT, 600);
+        assert_eq!(opened(&folder, 0, &next), 7_000_000, "{length} bytes");
+    }
+    fs::write(&file, whole.replace("1000000", "1000001")).expect("written");
+    assert_eq!(
+        opened(&folder, 0, &readings(7_000_000, BOOT, 600)),
+        7_000_000
+    );
+    // Where nothing can be written, the old note must not stay either.
+    fs::write(&file, &whole).expect("written");
+    fs::create_dir(folder.path().join(UNFINISHED_FILE_NAME)).expect("a folder");
+    let other_boot = readings(8_000_000, "8e", 600);
+    assert_eq!(opened(&folder, 0, &other_boot), 8_000_000);
+    assert!(!file.exists());
+}
+
+#[test]
+fn it_is_read_without_a_change_of_the_folder() {
+    let folder = TempDir::new().expect("a folder");
+    let _ = PersistentClock::open(folder.path(), 0);
+    assert_eq!(fs::read_dir(folder.path()).expect("a folder").count(), 0);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`net`] has the wires, [`admission_control`] who may connect and whose messages are accepted.
 //! - `coordination` and `agent` (feature `fleet`) are the replicas that coordinate senders and the
 //!   part of a sender that follows them.
-//! - [`config`] is what a sender is told.
+//! - [`config`] is what a sender is told, [`process_signals`] how it is told to end.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
@@ -22,6 +22,7 @@
 pub mod loop_latency;
 pub mod message_trace;
 pub mod net;
+pub mod process_signals;
 pub mod store;
 
 pub use dispatch::api::*;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,10 +6,10 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use async_signal::{Signal, Signals};
+use async_signal::Signal;
 use clap::Parser;
 use cli::{Cli, Command};
-use futures_lite::{Future, FutureExt, StreamExt};
+use futures_lite::{Future, FutureExt};
 use raildeal::admission_control::connection_slots::Rules;
 use raildeal::admission_control::descriptor_budget::Budget;
 use raildeal::config::{script, Config, Updates};
@@ -17,6 +17,7 @@
 use raildeal::delivery::driver::{DispatcherDriver, DriverEffects};
 use raildeal::delivery::endpoint::Endpoint;
 use raildeal::delivery::endpoint_directory::EndpointDirectory;
+use raildeal::delivery::journal::persistent_clock::PersistentClock;
 use raildeal::delivery::journal::restart_state;
 use raildeal::delivery::journal::{Journal, JournalOptions};
 use raildeal::delivery::message::{self, DeliveryContext};
@@ -24,7 +25,7 @@
 #[cfg(feature = "fleet")]
 use raildeal::delivery::routing_tables::RoutingTables;
 use raildeal::delivery::timer_wheel::TimerWheel;
-use raildeal::delivery::{duration, unix_ms, EndpointClient as _, Frontend};
+use raildeal::delivery::{duration, EndpointClient as _, Frontend};
 use raildeal::dispatch::list_polling;
 use raildeal::log_filter::with_present_paths;
 use raildeal::loop_latency::LoopLatency;
@@ -41,6 +42,7 @@
 use raildeal::net::platform::providers::Poster;
 use raildeal::net::platform::watch::{Watch, BEAT};
 use raildeal::net::{MQTT, PLATFORM};
+use raildeal::process_signals::ProcessSignals;
 use raildeal::{Dispatcher, RestartState, Settings};
 use rustix::process::{getrlimit, Resource};
 use std::cell::Cell;
@@ -61,6 +63,8 @@
 const END: Duration = Duration::from_millis(3400);
 /// How often the sizes of tables are told, where the level of the log is debug.
 const SIZES_EVERY: Duration = Duration::from_secs(5);
+/// A note that could not be written is tried again after this time.
+const NOTE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Connections that may bring updates of the directory.
 const UPDATERS: usize = 8;
 
@@ -158,8 +162,8 @@
     Ok(bound)
 }
 
-fn signals(which: &[Signal]) -> Result<Signals, String> {
-    Signals::new(which).map_err(|e| format!("signals: {e}"))
+fn signals(which: &[Signal]) -> Result<ProcessSignals, String> {
+    ProcessSignals::new(which).map_err(|e| format!("signals: {e}"))
 }
 
 /// Who may hold how many descriptors: of those that are told, or fewer, where the system allows
@@ -246,8 +250,8 @@
 }
 
 /// What the process before this one left.
-fn known_from_before(config: &Config) -> RestartState {
-    let notes = restart_state::load(&config.state, unix_ms());
+fn known_from_before(config: &Config, clock: &PersistentClock) -> RestartState {
+    let notes = restart_state::load(&config.state, clock.now_unix_ms());
     for fault in &notes.faults {
         log::warn!("state: a note does not count: {fault}");
     }
@@ -255,6 +259,17 @@
     notes.state
 }
 
+/// Has the state folder note its clock, as soon as it can be written.
+async fn note_clock(clock: PersistentClock, folder: PathBuf, wheel: Rc<TimerWheel>) {
+    let mut was_told = false;
+    while let Err(e) = clock.note(&folder) {
+        if !std::mem::replace(&mut was_told, true) {
+            log::warn!("state: clock not noted: {e}; a step of the wall clock counts");
+        }
+        wheel.sleep(NOTE_RETRY_DELAY).await;
+    }
+}
+
 /// Names the file of the fleet that this sender acts with, if it does.
 const FLEET: &str = "RAILDEAL_FLEET";
 
@@ -472,7 +487,12 @@
         .platform
         .as_ref()
         .map_or(0, |_| BEAT.as_nanos() as u64);
-    settings.restart_state = known_from_before(&config);
+    let clock = journal.clock();
+    keep(
+        &executor,
+        note_clock(clock, config.state.clone(), wheel.clone()),
+    );
+    settings.restart_state = known_from_before(&config, &clock);
     let (tended, synced, ended) = (journal.clone(), journal.clone(), journal.clone());
     let budget = budget(&config);
     let invoker = providers(&config, &budget, &wheel);
@@ -586,6 +606,7 @@
             wheel: wheel.clone(),
             patience,
             state: config.state.clone(),
+            clock,
             quickest: Cell::new(
                 settings
                     .restart_state
@@ -650,13 +671,14 @@
     }
     let reloading = driver.clone();
     keep(&executor, async move {
-        while hangups.next().await.is_some() {
+        loop {
+            hangups.received().await;
             discovery.iter().for_each(|d| reload(file.as_deref(), d));
             zones.iter().for_each(|z| z.reload(&reloading));
         }
     });
 
-    ending.next().await;
+    ending.received().await;
     log::info!(
         "{name}: told to end with {} messages held",
         driver.held_count()
@@ -680,7 +702,7 @@
     ended
         .sync_now()
         .unwrap_or_else(|e| log::error!("store: sync: {e}"));
-    restart_state::note_planned_end(&config.state, unix_ms())
+    restart_state::note_planned_end(&config.state, clock.now_unix_ms())
         .unwrap_or_else(|e| log::warn!("state: end not noted: {e}"));
     log::info!(
         "{name}: ends with {} messages for the next start",
--- a/src/net/connection_listener.rs
+++ b/src/net/connection_listener.rs
@@ -24,8 +24,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// After an accept that failed and could not be helped, the next one waits this long.
-const ACCEPT_REST: Duration = Duration::from_millis(50);
+/// After an accept that failed for want of something of the system's, the next one waits this long;
+/// who has connected waits in the system's queue.
+const ACCEPT_REST: Duration = Duration::from_millis(20);
 /// In the lobby it is looked again after this time, if no place came free before.
 const LOOK: Duration = Duration::from_millis(10);
 /// What has waited in the lobby for so long is told that all is full.
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -5,9 +5,9 @@
 use super::list::{self, Objects, Said};
 use crate::delivery::driver::DispatcherDriver;
 use crate::delivery::endpoint_directory::EndpointDirectory;
+use crate::delivery::journal::persistent_clock::PersistentClock;
 use crate::delivery::journal::restart_state;
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::delivery::unix_ms;
 use crate::net::stream::Stream;
 use async_channel::Receiver;
 use futures_lite::future;
@@ -38,6 +38,8 @@
     pub patience: Duration,
     /// The folder that lasts, for a note of what asks took and of how long the list may be trusted.
     pub state: PathBuf,
+    /// The clock that those notes go by.
+    pub clock: PersistentClock,
     /// The shortest time that an ask took, also in the process before.
     pub quickest: Cell<Option<Duration>>,
     /// That could not be noted, and the log has it.
@@ -138,7 +140,8 @@
         let Some(trusted_for) = self.driver.remaining_list_freshness() else {
             return;
         };
-        let noted = restart_state::note_list_freshness(&self.state, unix_ms(), trusted_for);
+        let noted =
+            restart_state::note_list_freshness(&self.state, self.clock.now_unix_ms(), trusted_for);
         let told_before = self.unnoted.replace(noted.is_err());
         if let Some(e) = noted.err().filter(|_| !told_before) {
             log::warn!("state: trust in the list not noted: {e}");
@@ -154,7 +157,7 @@
             .get()
             .map_or(took, |quickest| quickest.min(took));
         self.quickest.set(Some(least));
-        let noted = restart_state::note_list_poll(&self.state, unix_ms(), least);
+        let noted = restart_state::note_list_poll(&self.state, self.clock.now_unix_ms(), least);
         noted.unwrap_or_else(|e| log::warn!("state: ask not noted: {e}"));
     }
 
--- a/src/net/socket_error.rs
+++ b/src/net/socket_error.rs
@@ -7,9 +7,9 @@
     e.raw_os_error().map(Errno::from_raw_os_error)
 }
 
-/// Whether there is no descriptor left, in this process or in the system.
+/// Whether there is no descriptor left in this process: it can only give one up.
 pub fn is_out_of_descriptors(e: &io::Error) -> bool {
-    matches!(errno(e), Some(Errno::MFILE | Errno::NFILE))
+    errno(e) == Some(Errno::MFILE)
 }
 
 /// Whether it is this machine that cannot open a connection now: it says nothing of the other side.
@@ -17,7 +17,8 @@
     let of_sockets = matches!(
         errno(e),
         Some(
-            Errno::NOBUFS
+            Errno::NFILE
+                | Errno::NOBUFS
                 | Errno::NOMEM
                 | Errno::NOSPC
                 | Errno::ADDRNOTAVAIL
--- a/test-harness/src/directory.rs
+++ b/test-harness/src/directory.rs
@@ -29,6 +29,8 @@
     queue: VecDeque<Sender<()>>,
     watches: Vec<TcpStream>,
     ask: Duration,
+    /// A notice that is taken is answered so much later.
+    notice_answer_after: Duration,
     down: bool,
     /// Asks are answered 503 at once.
     busy: bool,
@@ -154,6 +156,11 @@
         self.shared.state().list_after = head;
     }
 
+    /// Answers notices so much later than it takes them.
+    pub fn answers_notices_after(&self, time: Duration) {
+        self.shared.state().notice_answer_after = time;
+    }
+
     /// Needs so long for each ask from now on.
     pub fn takes(&self, ask: Duration) {
         self.shared.state().ask = ask;
@@ -199,6 +206,8 @@
                 let text = |field: &str| notice[field].as_str().unwrap_or_default();
                 shared.record.told(text("id"), text("status"));
             }
+            let answer_after = shared.state().notice_answer_after;
+            thread::sleep(answer_after);
             stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n")?;
         } else {
             return watch(stream, &request, shared);
--- a/test-harness/src/lib.rs
+++ b/test-harness/src/lib.rs
@@ -19,8 +19,10 @@
 mod sayings;
 pub mod scenario;
 pub mod sender;
+pub mod soak;
 mod stage;
 pub mod steps;
+pub mod syscall_faults;
 pub mod tables;
 pub mod zone;
 
--- a/test-harness/src/partner.rs
+++ b/test-harness/src/partner.rs
@@ -17,8 +17,25 @@
 /// Between two looks at whether a caller that gets no answer has hung up.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// How an endpoint answers the calls that it takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Manner {
+    /// After the time that a call takes.
+    #[default]
+    Prompt,
+    /// Within this before the time that its caller waits is over, or as much after it.
+    AtTheEnd(Duration),
+    /// With one answer after another that only announces another one, from the middle of the time
+    /// that its caller waits.
+    Announcing,
+}
+
+/// Between two answers that only announce another one.
+const ANNOUNCES_EVERY: Duration = Duration::from_millis(250);
+
 struct State {
     limit: Limit,
+    manner: Manner,
     /// Connections that are open.
     open: Vec<Arc<TcpStream>>,
     /// Counts its deaths and returns: who waited for an answer across one gets none.
@@ -81,6 +98,7 @@
     ) -> io::Result<Partner> {
         let state = State {
             limit: Limit::new(terms),
+            manner: Manner::default(),
             open: Vec::new(),
             life: 0,
             came: 0,
@@ -140,6 +158,11 @@
         self.0.settle()
     }
 
+    /// It answers in this manner from now on.
+    pub fn answers(&self, manner: Manner) {
+        self.0.state().manner = manner;
+    }
+
     /// It lives again.
     ///
     /// # Errors
@@ -183,12 +206,12 @@
         };
         shared.record.called(&id, &shared.uid, Some(over));
         let fails = shared.record.stamped(&id, call.header(STAMP));
-        let (mut does, life) = {
+        let (mut does, life, manner) = {
             let mut state = shared.state();
             let does = state.limit.comes(Instant::now());
             state.came += 1;
             state.turned_away += u32::from(matches!(does, Does::Full(_)));
-            (does, state.life)
+            (does, state.life, state.manner)
         };
         if fails && matches!(does, Does::Takes(_)) {
             does = Does::Errs;
@@ -197,6 +220,15 @@
         if takes {
             shared.record.ran(&id, &shared.uid);
         }
+        if takes {
+            thread::sleep(more_time(manner, &call));
+        }
+        if takes && manner == Manner::Announcing {
+            // It ends when the caller hangs up, who cannot know whether it has run.
+            announce(over);
+            shared.record.ended(&id, Some(over), false);
+            return Ok(());
+        }
         let said = says(does, life, over, shared);
         if !takes {
             // Who is turned away may call elsewhere before this thread goes on: it is out no more
@@ -222,6 +254,34 @@
     Ok(())
 }
 
+/// How much longer a call takes than it would otherwise.
+fn more_time(manner: Manner, call: &Http) -> Duration {
+    let caller_waits = call
+        .header("x-remaining")
+        .and_then(|left| left.strip_suffix('m')?.parse().ok())
+        .map_or(Duration::ZERO, Duration::from_millis);
+    match manner {
+        Manner::Prompt => Duration::ZERO,
+        Manner::Announcing => caller_waits / 2,
+        Manner::AtTheEnd(around) => {
+            let spread = 2.0 * fastrand::f64() - 1.0;
+            let at = caller_waits.as_secs_f64() + around.as_secs_f64() * spread;
+            Duration::from_secs_f64(at.max(0.0))
+        }
+    }
+}
+
+/// Announces an answer, with the beginning of the next announcement behind it, until the caller
+/// hangs up.
+fn announce(over: &Arc<TcpStream>) {
+    let mut stream = over.as_ref();
+    let mut bytes: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 1";
+    while is_open(over) && stream.write_all(bytes).is_ok() {
+        thread::sleep(ANNOUNCES_EVERY);
+        bytes = b"00 Continue\r\n\r\nHTTP/1.1 1";
+    }
+}
+
 /// Waits as long as the call takes. The answer; nothing if the connection ends instead.
 fn says(does: Does, life: u64, over: &Arc<TcpStream>, shared: &Arc<Shared>) -> Option<String> {
     let (status, more) = match does {
--- a/test-harness/src/record.rs
+++ b/test-harness/src/record.rs
@@ -25,7 +25,7 @@
 
 /// A call that is out.
 #[derive(Clone, Debug)]
-struct Out {
+pub(crate) struct Out {
     uid: String,
     at: Instant,
     over: Option<Arc<TcpStream>>,
@@ -39,7 +39,7 @@
     /// The sender that it was handed to.
     pub(crate) by: String,
     /// Calls that are out.
-    out: Vec<Out>,
+    pub(crate) out: Vec<Out>,
     /// When it was handed in.
     pub handed_at: Option<Instant>,
     /// When its client heard an answer, whichever.
@@ -55,15 +55,17 @@
     pub delivered: u32,
     /// Notices, by status.
     pub told: Vec<String>,
+    /// When the first of them came.
+    pub told_at: Option<Instant>,
     /// Times that it was out twice at once.
     pub two_out: u32,
     /// Deliveries after a final answer had been told.
     pub too_late: u32,
     /// The zone whose endpoint worked it off first, whether or not anybody heard the answer.
-    ran: Option<String>,
+    pub(crate) ran: Option<String>,
     /// Times that an endpoint of another zone did so, too: no zone knows what another one dropped
     /// as a repeat.
-    ran_twice: u32,
+    pub(crate) ran_twice: u32,
 }
 
 impl Life {
@@ -682,7 +684,10 @@
 
     /// A notice came.
     pub fn told(&self, id: &str, status: &str) {
-        self.life(id, |l| l.told.push(status.to_string()));
+        self.life(id, |l| {
+            l.told.push(status.to_string());
+            l.told_at.get_or_insert_with(Instant::now);
+        });
     }
 
     /// Messages that were taken on and have no end yet.
--- a/test-harness/src/sender.rs
+++ b/test-harness/src/sender.rs
@@ -1,13 +1,14 @@
 //! One process of the program, with its folder, started again as the platform does.
 
 use crate::record::Record;
+use crate::syscall_faults::SyscallFaults;
 use crate::Http;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -48,6 +49,7 @@
     hook: Option<String>,
     in_fleet: bool,
     heard: Option<Heard>,
+    faults: Option<SyscallFaults>,
 }
 
 /// Where this is set in the environment, all that processes log is told on the standard error, each
@@ -102,6 +104,7 @@
             hook: None,
             in_fleet: false,
             heard: None,
+            faults: None,
         };
         sender.configure().map_err(failed)?;
         Ok(sender)
@@ -116,6 +119,20 @@
         std::fs::write(self.folder.path().join("fleet.toml"), fleet)
     }
 
+    /// From its next start on its system calls can be made to fail, as [`Sender::faults`] says.
+    ///
+    /// # Errors
+    /// As [`SyscallFaults::new`].
+    pub fn with_faults(&mut self, seed: u64) -> io::Result<()> {
+        self.faults = Some(SyscallFaults::new(self.folder.path(), seed)?);
+        Ok(())
+    }
+
+    /// What is done to its system calls; nothing where it was not started for that.
+    pub fn faults(&self) -> Option<&SyscallFaults> {
+        self.faults.as_ref()
+    }
+
     /// From its next start on each line that it logs is handed there.
     pub(crate) fn heard_by(&mut self, heard: Heard) {
         self.heard = Some(heard);
@@ -144,6 +161,7 @@
         let child = Command::new(&self.program)
             .args(file)
             .envs(fleet)
+            .envs(self.faults.iter().flat_map(SyscallFaults::environment))
             .env("NODE_CONFIG", self.folder.path().join("config.json"))
             .env("NODE_STATE", self.folder.path().join("state"))
             .env("RUST_LOG", if self.in_fleet { LOGS } else { "info" })
@@ -283,6 +301,11 @@
             .is_some_and(|c| matches!(c.try_wait(), Ok(None)))
     }
 
+    /// How its process has ended; nothing while it lives, and after it was killed here.
+    pub fn status(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut()?.try_wait().ok()?
+    }
+
     /// Hands a message for a destination in and waits for the answer as clients do. Whether it was
     /// taken on.
     pub fn hand_in(&self, id: &str, dest: usize, left: Duration, record: &Record) -> bool {
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -9,11 +9,12 @@
 
 /// Each part of the library and the parts that it may use. The crate's root re-exports the
 /// interface of `dispatch`.
-const MAY_USE: [(&str, &[&str]); 12] = [
+const MAY_USE: [(&str, &[&str]); 13] = [
     ("store", &[]),
     ("dispatch", &[]),
     ("log_filter", &[]),
     ("loop_latency", &[]),
+    ("process_signals", &[]),
     (PLATFORM_SETTINGS, &["dispatch"]),
     ("admission_control", &["store"]),
     ("delivery", &["admission_control", "dispatch", "store"]),
@@ -37,7 +38,10 @@
             PLATFORM_SETTINGS,
         ],
     ),
-    ("coordination", &["config", "delivery", "dispatch", "store"]),
+    (
+        "coordination",
+        &["config", "delivery", "dispatch", "process_signals", "store"],
+    ),
     (
         "agent",
         &["config", "coordination", "delivery", "dispatch", "store"],
--- a/tests/message_delivery.rs
+++ b/tests/message_delivery.rs
@@ -10,6 +10,7 @@
 use raildeal::delivery::driver::{DispatcherDriver, DriverEffects};
 use raildeal::delivery::endpoint::{Endpoint, EndpointEntry, EndpointListUpdate};
 use raildeal::delivery::endpoint_directory::EndpointDirectory;
+use raildeal::delivery::journal::persistent_clock::PersistentClock;
 use raildeal::delivery::journal::{Durability, Journal, JournalOptions, MessageRecord, OpenRecord};
 use raildeal::delivery::message::{receive, resume, ClientReply, DeliveryContext, TimeBudget};
 use raildeal::delivery::policies::PolicySet;
@@ -384,9 +385,10 @@
     let image = [(segment(), bytes[..cut].to_vec())].into();
     let disk = Arc::new(FaultyDisk::from_image(image));
     let time = Box::new(|| Duration::ZERO);
+    let clock = |_| PersistentClock::from_wall_clock();
+    let options = JournalOptions::new(1_000_000);
     let (_, records) =
-        Journal::open_on(disk, JournalOptions::new(1_000_000), None, Vec::new(), time)
-            .expect("opened");
+        Journal::open_on(disk, options, None, Vec::new(), time, clock).expect("opened");
     records.first().map(|r| r.snapshot())
 }
 
--- a/tests/multi_process/main.rs
+++ b/tests/multi_process/main.rs
@@ -3,6 +3,7 @@
 #[cfg(feature = "fleet")]
 mod policies;
 mod slow_start;
+mod soak;
 mod standing;
 #[cfg(feature = "fleet")]
 mod tables;
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 //! scenario is written once and runs unchanged on every front.
 
 mod bad_clients;
+mod clock_steps;
 mod discovery;
 mod dns_only;
 mod final_answers;
--- a/tests/sockets/program.rs
+++ b/tests/sockets/program.rs
@@ -40,9 +40,13 @@
 impl Program {
     /// Starts it with an operator's file.
     pub fn start(config: &Path) -> Self {
-        // An earlier program can be measured beside this one.
+        Program::spawn(Program::command().arg(config))
+    }
+
+    /// What starts it. An earlier program can be measured beside this one.
+    pub fn command() -> Command {
         let program = std::env::var("RAILDEAL").unwrap_or(env!("CARGO_BIN_EXE_raildeal").into());
-        Program::spawn(Command::new(program).arg(config))
+        Command::new(program)
     }
 
     /// The same under a bound of the shell's `ulimit`: `-f` for its files, in blocks of 512 bytes,
--- a/tests/sockets/rig.rs
+++ b/tests/sockets/rig.rs
@@ -237,15 +237,16 @@
         self.client = W::client(self.address);
     }
 
+    /// A program that was just started on the folder of the one before takes its place.
+    pub fn started(&mut self, program: Program) {
+        (self.program, [self.address, self.other]) = ready::<W>(program, &self.discovery, |_| ());
+        self.client = W::client(self.address);
+    }
+
     /// Starts it again under a bound, as [`Program::start_bounded`] says.
     pub fn start_bounded(&mut self, what: &str, most: u64) {
         let file = config(&self.folder, &self.discovery, &self.settings);
-        (self.program, [self.address, self.other]) = ready::<W>(
-            Program::start_bounded(&file, what, most),
-            &self.discovery,
-            |_| (),
-        );
-        self.client = W::client(self.address);
+        self.started(Program::start_bounded(&file, what, most));
     }
 
     /// The folder that lasts.
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -2,6 +2,7 @@
 //! afterwards against what was told and sent meanwhile. A failure names its seed, its fault and the
 //! operation; `STORE_SEEDS=n` runs n seeds instead of the few that a usual run has.
 
+use raildeal::delivery::journal::persistent_clock::PersistentClock;
 use raildeal::delivery::journal::{Durability, Journal, JournalOptions, OpenRecord};
 use raildeal::delivery::{Envelope, Verdict};
 use raildeal::store::faulty::{DiskImage, Fault, FaultyDisk};
@@ -63,7 +64,9 @@
     time: &Rc<Cell<Duration>>,
 ) -> (Rc<Journal>, Vec<OpenRecord>) {
     let (disk, time) = (Arc::new(disk.clone()), time.clone());
-    Journal::open_on(disk, setup, None, Vec::new(), Box::new(move || time.get()))
+    let monotonic_clock = Box::new(move || time.get());
+    let clock = |_| PersistentClock::from_wall_clock();
+    Journal::open_on(disk, setup, None, Vec::new(), monotonic_clock, clock)
         .expect("a start succeeds")
 }
 
