Let a process without descriptors go slower, as before

The log showed calls that were not sent, one after another.

Cause: is_local (net/socket_error.rs) counted EMFILE as this machine's want, which is not held against the endpoint; so nothing slowed the calls down, and they took each descriptor that a client needed. It is the process's own now, and a failed connection as before.

--- a/src/net/socket_error.rs
+++ b/src/net/socket_error.rs
@@ -12,9 +12,11 @@
     errno(e) == Some(Errno::MFILE)
 }
 
-/// Whether it is this machine that cannot open a connection now: it says nothing of the other side.
+/// Whether it is this machine that cannot open a connection for a moment: it says nothing of the
+/// other side. A process without descriptors is none of these: it has too many calls out, and has
+/// to go slower.
 pub fn is_local(e: &io::Error) -> bool {
-    let of_sockets = matches!(
+    matches!(
         errno(e),
         Some(
             Errno::NFILE
@@ -26,8 +28,7 @@
                 | Errno::NETUNREACH
                 | Errno::INTR
         )
-    );
-    of_sockets || is_out_of_descriptors(e)
+    )
 }
 
 /// Whether a failed accept was about that one connection, which is gone: the next one may be
--- a/src/net/socket_error/tests.rs
+++ b/src/net/socket_error/tests.rs
@@ -7,7 +7,6 @@
 #[test]
 fn a_shortage_of_this_machine_is_told_from_a_fault_of_the_other_side() {
     for errno in [
-        Errno::MFILE,
         Errno::NFILE,
         Errno::NOBUFS,
         Errno::ADDRNOTAVAIL,
@@ -16,6 +15,7 @@
         assert!(is_local(&of(errno)), "{errno}");
     }
     for errno in [
+        Errno::MFILE,
         Errno::CONNREFUSED,
         Errno::CONNRESET,
         Errno::TIMEDOUT,
