--- a/src/delivery/journal/inspect.rs
+++ b/src/delivery/journal/inspect.rs
@@ -167,10 +167,7 @@
     forget_copied(&legacy_items, &recovered, &mut replay);
     damage.extend(recovered.damage.iter().map(ToString::to_string));
     let segments = summarize_segments(&recovered);
-    let wall_clock = WallClock {
-        now_unix_ms: PersistentClock::open(folder, 0).now_unix_ms(),
-        newest_unix_ms: 0,
-    };
+    let wall_clock = WallClock::at(PersistentClock::open(folder, 0).now_unix_ms());
     Ok(JournalInspection {
         in_use,
         garbage_fraction: garbage_fraction(&segments),
--- a/src/delivery/journal/mod.rs
+++ b/src/delivery/journal/mod.rs
@@ -61,7 +61,6 @@
 use std::fs::File;
 use std::rc::Rc;
 use std::time::Duration;
-use wall_clock::WallClock;
 
 /// Bytes that events may add to a record: two zones' names above all.
 const EVENT_ALLOWANCE_BYTES: u64 = 192;
@@ -135,7 +134,6 @@
     options: JournalOptions,
     monotonic_clock: MonotonicClock,
     clock: PersistentClock,
-    wall_clock: WallClock,
     worker: Option<Worker>,
     sync: SyncProgress,
 }
--- a/src/delivery/journal/open.rs
+++ b/src/delivery/journal/open.rs
@@ -93,7 +93,6 @@
             options,
             monotonic_clock,
             clock,
-            wall_clock,
             worker,
             sync: SyncProgress::default(),
         });
--- a/src/delivery/journal/open_record.rs
+++ b/src/delivery/journal/open_record.rs
@@ -105,10 +105,7 @@
     pub fn time_left(&self) -> Duration {
         self.with_entry(|entry| {
             let record = &entry.record;
-            let clock = WallClock {
-                now_unix_ms: self.journal.clock.now_unix_ms(),
-                ..self.journal.wall_clock
-            };
+            let clock = WallClock::at(self.journal.clock.now_unix_ms());
             clock.time_left(record.accepted_unix_ms, record.expires_unix_ms)
         })
     }
--- a/src/delivery/journal/persistent_clock.rs
+++ b/src/delivery/journal/persistent_clock.rs
@@ -14,7 +14,7 @@
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// The note's file.
 const FILE_NAME: &str = "clock";
@@ -164,12 +164,7 @@
 
     /// The time, as Unix time in milliseconds.
     pub fn now_unix_ms(&self) -> u64 {
-        self.unix_ms_at_start + self.elapsed().as_millis() as u64
-    }
-
-    /// How long it runs in this process.
-    fn elapsed(&self) -> Duration {
-        self.started_at.elapsed()
+        self.unix_ms_at_start + self.started_at.elapsed().as_millis() as u64
     }
 }
 
--- a/src/delivery/journal/persistent_clock/tests.rs
+++ b/src/delivery/journal/persistent_clock/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use std::time::Duration;
 use tempfile::TempDir;
 
 const BOOT: &str = "7d3c";
--- a/src/delivery/journal/wall_clock.rs
+++ b/src/delivery/journal/wall_clock.rs
@@ -13,6 +13,14 @@
 }
 
 impl WallClock {
+    /// A clock of which nothing older is known to compare it with.
+    pub fn at(now_unix_ms: u64) -> Self {
+        WallClock {
+            now_unix_ms,
+            newest_unix_ms: 0,
+        }
+    }
+
     /// Whether it was set back: then nobody knows how much time has passed.
     pub fn was_set_back(&self) -> bool {
         self.now_unix_ms < self.newest_unix_ms
