Add a failing test of a wake-up that is lost, and tell wake-ups that come late

By reading: a wake-up that the dispatcher asks for while the one before is due is dropped by the timer's task. The test has an event in the tick of a wake-up, with an endpoint list too old to be used: the next wake-up never comes (failed on this code).

--- a/src/delivery/driver/mod.rs
+++ b/src/delivery/driver/mod.rs
@@ -35,6 +35,9 @@
 /// its clock has no times before zero.
 const CLOCK_AT_START: Duration = Duration::from_secs(30 * 86_400);
 
+/// A wake-up that comes so long after the dispatcher asked for it is worth a line in the log.
+const NOTABLE_WAKE_DELAY: Duration = Duration::from_millis(50);
+
 /// What the dispatcher wants done about one message.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum DispatchOrder {
@@ -77,9 +80,23 @@
     /// Empty between turns; its memory is used again.
     actions: Vec<Action>,
     wake_at: Option<Instant>,
+    /// When the dispatcher asked to be woken last, until a turn comes at or after that.
+    wake_requested_at: Option<Instant>,
 }
 
 impl State {
+    /// Notes that a turn begins: it is the wake-up that was asked for by now. One that comes late
+    /// is told, as messages may have outlived their time meanwhile.
+    fn note_turn(&mut self, now: Instant) {
+        let Some(due) = self.wake_requested_at.take_if(|at| *at <= now) else {
+            return;
+        };
+        let late = now - due;
+        if late > NOTABLE_WAKE_DELAY {
+            log::warn!("driver: the dispatcher was woken {late:?} late");
+        }
+    }
+
     /// A number that no held message has: numbers come round after 2^32 messages.
     fn next_free_id(&mut self) -> MessageId {
         loop {
@@ -128,6 +145,7 @@
             slots: HashMap::new(),
             actions: Vec::new(),
             wake_at: None,
+            wake_requested_at: None,
         };
         Rc::new(DispatcherDriver {
             state: RefCell::new(state),
@@ -342,6 +360,7 @@
             return;
         }
         let mut state = self.state.borrow_mut();
+        state.note_turn(Instant::now());
         let mut actions = std::mem::take(&mut state.actions);
         state.dispatcher.handle(self.now(), &[event], &mut actions);
         for action in actions.drain(..) {
@@ -369,6 +388,7 @@
             Action::WatchList => self.effects.watch_list(),
             Action::WakeAfter(delay) => {
                 state.wake_at = Some(Instant::now() + duration(delay));
+                state.wake_requested_at = state.wake_at;
                 self.wake_changed.set();
             }
             Action::Log(line) => log::info!("module: {line}"),
@@ -408,3 +428,6 @@
         self.state.borrow_mut().slots.remove(&id);
     }
 }
+
+#[cfg(test)]
+mod tests;
