Keep the dispatcher's wake-up when another turn comes in the tick of the one before

What callers saw: a message was accepted, no attempt was made, and its final answer came late or never; nothing in the log. Cause: the timer's task cleared the wake-up that was stored when it was due, also where a turn in the same tick had just stored the next one there. The dispatcher does not ask twice for one wake-up; with a stale list the next is exactly 50 ms away, so that no rounding had it asked for again. Nothing was given up, attempted or polled until another event came. Change: a wake-up is used up by the turn that comes at or after it and by nothing else, so none that lies ahead can be dropped, whatever runs between.

--- a/src/delivery/driver/mod.rs
+++ b/src/delivery/driver/mod.rs
@@ -79,16 +79,17 @@
     slots: HashMap<MessageId, MessageSlot>,
     /// Empty between turns; its memory is used again.
     actions: Vec<Action>,
+    /// When the dispatcher asked to be woken, until a turn comes at or after that. Only turns change
+    /// it: the dispatcher does not ask again for a wake-up that it has asked for, so one that the
+    /// timer's task dropped, while it answers the one before, would never come.
     wake_at: Option<Instant>,
-    /// When the dispatcher asked to be woken last, until a turn comes at or after that.
-    wake_requested_at: Option<Instant>,
 }
 
 impl State {
     /// Notes that a turn begins: it is the wake-up that was asked for by now. One that comes late
     /// is told, as messages may have outlived their time meanwhile.
     fn note_turn(&mut self, now: Instant) {
-        let Some(due) = self.wake_requested_at.take_if(|at| *at <= now) else {
+        let Some(due) = self.wake_at.take_if(|at| *at <= now) else {
             return;
         };
         let late = now - due;
@@ -145,7 +146,6 @@
             slots: HashMap::new(),
             actions: Vec::new(),
             wake_at: None,
-            wake_requested_at: None,
         };
         Rc::new(DispatcherDriver {
             state: RefCell::new(state),
@@ -330,7 +330,6 @@
                 false
             };
             if due.or(changed).await {
-                self.state.borrow_mut().wake_at = None;
                 self.handle_event(Event::TimerFired);
             }
         }
@@ -356,11 +355,11 @@
     /// One turn of the dispatcher. Orders are only put into their messages' channels here; the
     /// deliveries act on them later, so no turn begins within another.
     fn handle_event(&self, event: Event) {
+        let mut state = self.state.borrow_mut();
+        state.note_turn(Instant::now());
         if self.is_halted.get() {
             return;
         }
-        let mut state = self.state.borrow_mut();
-        state.note_turn(Instant::now());
         let mut actions = std::mem::take(&mut state.actions);
         state.dispatcher.handle(self.now(), &[event], &mut actions);
         for action in actions.drain(..) {
@@ -388,7 +387,6 @@
             Action::WatchList => self.effects.watch_list(),
             Action::WakeAfter(delay) => {
                 state.wake_at = Some(Instant::now() + duration(delay));
-                state.wake_requested_at = state.wake_at;
                 self.wake_changed.set();
             }
             Action::Log(line) => log::info!("module: {line}"),
--- a/src/delivery/driver/tests.rs
+++ b/src/delivery/driver/tests.rs
@@ -66,6 +66,12 @@
 
 /// A message was accepted, no attempt was made, and its final answer came only after its time: its
 /// client took it for lost. Seen once in a day of many senders with little traffic each.
+///
+/// A turn that comes when a wake-up is due asks for the next one. The timer's task, woken in the same
+/// tick, took the new wake-up for the old one and dropped it. With a list that is too old the next
+/// one is exactly 50 ms away, and the dispatcher does not ask again for what it has asked for: from
+/// then on it slept until something else happened. Shown by this test, which waited in vain for
+/// twice the message's time.
 #[test]
 fn a_wake_up_asked_for_in_the_tick_of_the_one_before_still_comes() {
     let (driver, wheel) = (driver(), TimerWheel::new());
