Add a failing test of a notice that goes again over connections that fell silent

Symptom: a final answer is heard by the platform long after its message's time, though the platform answers at once on any new connection. The test has three kept connections fall silent, as after a cut; the next notice is heard after 2.28 s, 0.55 s at the most would be in time (given up 0.25 s before its message's end, lost 0.3 s after it).

--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -219,3 +219,6 @@
     };
     Some(format!("{notice}\n"))
 }
+
+#[cfg(test)]
+mod tests;
