Hold to the slow-start budget after a short outage whose trials failed

What callers saw: an endpoint that was down for under 4.5 s was pushed over by the fleet at its return and stayed down. Cause: a row of failures that ended within 1.5 overload windows was taken for chance, whatever had failed in it. Change: a failed trial of an ejected endpoint is the evidence that more than chance ejected it; then the budget is kept, however short the row. Chance ejects as before and costs no warm-up.

--- a/src/dispatch/endpoint_health.rs
+++ b/src/dispatch/endpoint_health.rs
@@ -77,6 +77,8 @@
     pub trial_at: Nanos,
     /// The gap after that trial, in nanoseconds.
     pub trial_gap: Nanos,
+    /// A trial has failed since it was ejected: more than chance ejected it.
+    pub trial_has_failed: bool,
     /// When a returning endpoint first answered, or last failed: its warm-up counts from here.
     pub warmup_since: Nanos,
     /// Failures in a row.
@@ -197,8 +199,12 @@
 
     /// Records that a call was answered.
     pub fn record_answer(&mut self, now: Nanos, call: &CallResult, settings: &Settings) {
-        // An outage lasts: a row of failures that ends this soon was chance or a slow spell.
-        let was_brief = now.saturating_sub(self.failing_since) < settings.overload_window * 3 / 2;
+        // A row of failures that ends this soon was chance or a slow spell, unless a trial failed,
+        // too: calls that are lost by chance come one or two in a row, and nothing was sent there
+        // between that was answered. However short, an outage leaves the endpoint cold.
+        let lasted = now.saturating_sub(self.failing_since) >= settings.overload_window * 3 / 2;
+        let was_outage = lasted || self.trial_has_failed;
+        self.trial_has_failed = false;
         self.consecutive_failures = 0;
         self.last_answer_at = now;
         self.failure_share *= 1.0 - FAILURE_GAIN;
@@ -207,10 +213,10 @@
         self.peak_throughput +=
             (throughput - self.peak_throughput).max(PEAK_FADE * -self.peak_throughput);
         if self.health == Health::Ejected {
-            self.health = if was_brief {
-                Health::Healthy
-            } else {
+            self.health = if was_outage {
                 Health::SlowStart
+            } else {
+                Health::Healthy
             };
             let silent = to_secs(now - self.failed_at);
             let back = unobserved_recovery(silent, settings.senders);
@@ -280,6 +286,7 @@
         let enough = EJECT_AFTER_FAILURES
             + MORE_FOR_ERRORS * u32::from(!is_hard)
             + u32::from(connection_shortage);
+        self.trial_has_failed |= call.is_trial && is_hard;
         if self.consecutive_failures >= enough || call.is_trial && is_hard || single_is_enough {
             self.eject(now, call.jitter);
         } else if self.health == Health::SlowStart || self.failure_share > MOSTLY_FAILING {
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -419,11 +419,22 @@
     }
 }
 
-/// What failed for less than one and a half windows (4.5 s here) is taken for chance or a slow
-/// spell and not for an outage (`brief` in src/health.rs): after that no budget is kept. Listed in
-/// KNOWN-RED.txt.
+/// An endpoint that was down for under one and a half windows (4.5 s here) was pushed over by all
+/// senders together at its return, and stayed down: a row of failures that ended so soon was taken
+/// for chance or a slow spell, whatever had failed in it, and no budget was kept after it. The
+/// printed worst windows showed it: over the bound after 4 s, under it after 6 s and more.
 #[test]
 fn relays_keep_the_bound_of_an_endpoint_that_returns_after_a_short_outage() {
     let over = over_the_bound(4);
     assert!(over.is_empty(), "{over:#?}");
 }
+
+/// Where an outage ends before most senders have seen a trial fail, some of them have no evidence
+/// of it but a failed call or two, as chance leaves them, too. Listed in KNOWN-RED.txt.
+#[test]
+fn relays_keep_the_bound_however_short_the_outage_was() {
+    for down in [1, 2, 3] {
+        let over = over_the_bound(down);
+        assert!(over.is_empty(), "{over:#?}");
+    }
+}
