--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -57,9 +57,10 @@
             }
             // This watch is what was asked for, however often.
             while asked.try_recv().is_ok() {}
+            let began = Instant::now();
             match self.discovery.while_there(self.follow()).await {
                 Some(ended) => {
-                    faults.tell(ended);
+                    faults.tell(ended, began.elapsed());
                     self.driver.report_list_failure();
                     self.note_trust();
                 }
@@ -193,10 +194,12 @@
 }
 
 impl Faults {
-    fn tell(&mut self, ended: io::Result<()>) {
+    fn tell(&mut self, ended: io::Result<()>, lasted: Duration) {
         match ended {
-            Ok(()) => log::warn!("watch: ended"),
-            Err(e) if e.kind() != io::ErrorKind::InvalidData => log::warn!("watch: {e}"),
+            Ok(()) => log::warn!("watch: ended after {lasted:?}"),
+            Err(e) if e.kind() != io::ErrorKind::InvalidData => {
+                log::warn!("watch: {e} after {lasted:?}");
+            }
             Err(_) if self.told.is_some_and(|at| at.elapsed() < TOLD_EVERY) => self.more += 1,
             Err(e) => {
                 let more = std::mem::take(&mut self.more);
