Keep a leader whose heartbeats are over a second apart from panicking in a return

What operators would see: with rules.beat_ms over 1,000, which the check permits up to 10,000, the leader ended at the first step of a return to a zone. Cause, by reading: the interval was clamped between a heartbeat and one second, and clamp panics where the least is over the most. Change: a second is the most only as far as a heartbeat permits. Tests of both cases beside the module.

--- a/src/coordination/leader/capacity.rs
+++ b/src/coordination/leader/capacity.rs
@@ -146,13 +146,9 @@
         by_list.max(by_load.min(without_overload))
     }
 
-    /// Milliseconds between two steps of a return: a heartbeat at least, as they are counted on
-    /// the record's clock.
+    /// Milliseconds between two steps of a return.
     pub(super) fn readmission_interval_ms(&self) -> u32 {
-        (self.rules.zones.warmup_ms / READMISSION_INTERVALS_IN_WARMUP).clamp(
-            self.rules.heartbeat_interval_ms,
-            MAX_READMISSION_INTERVAL_MS,
-        )
+        readmission_interval_ms(self.rules.zones.warmup_ms, self.rules.heartbeat_interval_ms)
     }
 
     /// By destination, the share of the senders that can be moved out of one more zone.
@@ -348,3 +344,16 @@
         .find(|(listed, _)| *listed == destination)
         .map_or(0.0, |(_, share)| *share)
 }
+
+/// Milliseconds between two steps of a return to what warms up for so long. Steps are counted on
+/// the record's clock, so a heartbeat is the least, also where heartbeats are further apart than
+/// steps may be otherwise.
+fn readmission_interval_ms(warmup_ms: u32, heartbeat_interval_ms: u32) -> u32 {
+    let by_warmup = warmup_ms / READMISSION_INTERVALS_IN_WARMUP;
+    by_warmup
+        .min(MAX_READMISSION_INTERVAL_MS)
+        .max(heartbeat_interval_ms)
+}
+
+#[cfg(test)]
+mod tests;
