Let new notices go beside those that a silent platform did not hear

What callers saw: a final answer after its message's time though the platform heard at once by then. Cause: three requests held all notices; each waited up to 1 s for an answer and rested up to 0.5 s once the platform had been silent, and a new notice waited until one of them was through. Change: new notices have two requests of their own, 0.3 s each; what was not heard goes on together in a third, with waits that grow. As many connections as before.

--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -1,7 +1,8 @@
 //! Final answers to the platform: sent again until they are heard.
 //!
-//! Several requests may be out at once, each over a connection of its own: a message's time does
-//! not wait, so a notice must not wait behind another one that the platform is slow to hear.
+//! A message's time does not wait, so a new notice must not wait behind others that the platform is
+//! slow to hear, or does not hear at all. Requests with new notices are few at once and short; what
+//! they did not bring to the platform goes on in a request of its own, with waits that grow.
 
 use super::discovery::Discovery;
 use super::http;
@@ -17,8 +18,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Requests that may be out at once.
-pub const MAX_REQUESTS: usize = 3;
+/// Requests with new notices that may be out at once; one more may be out with those that were not
+/// heard.
+const MAX_NEW_REQUESTS: usize = 2;
 /// First and longest time that an answer is waited for. A notice is answered right away: what takes
 /// longer is probably lost, and told twice, a notice does no harm.
 const ANSWER_TIMEOUT: (Duration, Duration) =
@@ -62,9 +64,15 @@
 /// A connection that has carried a request, and may carry another one.
 type IdleConnection = (SocketAddr, Stream);
 
+/// Notices that wait to be sent.
+type Queue = (Sender<Notice>, Receiver<Notice>);
+
 /// The way back to the platform.
 pub struct Notices {
-    queue: (Sender<Notice>, Receiver<Notice>),
+    /// Those that were not sent yet.
+    new: Queue,
+    /// Those that were sent and not heard.
+    unheard: Queue,
     discovery: Rc<Discovery>,
     wheel: Rc<TimerWheel>,
     idle: RefCell<Vec<IdleConnection>>,
@@ -75,7 +83,8 @@
     /// Nothing is sent until [`Notices::run`] runs.
     pub fn new(discovery: Rc<Discovery>, wheel: Rc<TimerWheel>) -> Rc<Self> {
         Rc::new(Notices {
-            queue: async_channel::unbounded(),
+            new: async_channel::unbounded(),
+            unheard: async_channel::unbounded(),
             discovery,
             wheel,
             idle: RefCell::default(),
@@ -85,56 +94,103 @@
 
     /// Notices that wait to be sent or heard.
     pub fn waiting(&self) -> usize {
-        self.queue.1.len() + self.in_flight.get()
+        self.new.1.len() + self.unheard.1.len() + self.in_flight.get()
     }
 
     /// Sends what is queued, for ever.
     pub async fn run(&self) {
-        let all: [_; MAX_REQUESTS] = std::array::from_fn(|_| self.post_queued());
-        let [first, second, third] = all;
-        future::zip(first, future::zip(second, third)).await;
+        let new: [_; MAX_NEW_REQUESTS] = std::array::from_fn(|_| self.post_new());
+        let [first, second] = new;
+        future::zip(future::zip(first, second), self.post_unheard()).await;
     }
 
-    /// Sends one batch after another, each until it is heard.
-    async fn post_queued(&self) {
-        while let Ok(first) = self.queue.1.recv().await {
-            let mut batch = vec![first];
-            batch.extend(std::iter::from_fn(|| self.queue.1.try_recv().ok()).take(MAX_BATCH - 1));
-            self.in_flight.set(self.in_flight.get() + batch.len());
-            self.post_until_heard(&batch).await;
-            self.in_flight.set(self.in_flight.get() - batch.len());
-            for notice in &batch {
-                let _ = notice.heard.try_send(());
+    /// Sends new notices, one batch after another, each once.
+    async fn post_new(&self) {
+        while let Ok(first) = self.new.1.recv().await {
+            let mut batch = Vec::new();
+            self.add(&mut batch, first);
+            self.add_queued(&mut batch, &self.new.1);
+            match self.post_batch(&batch, ANSWER_TIMEOUT.0).await {
+                Ok(()) => self.release(batch),
+                Err(failure) => {
+                    log_failure(&failure, &batch);
+                    self.in_flight.set(self.in_flight.get() - batch.len());
+                    for notice in batch {
+                        let _ = self.unheard.0.try_send(notice);
+                    }
+                }
             }
         }
     }
 
-    async fn post_until_heard(&self, batch: &[Notice]) {
-        let body: String = batch.iter().map(|notice| notice.line.as_str()).collect();
+    /// Sends again what was not heard, all of it together, until it is heard.
+    async fn post_unheard(&self) {
+        while let Ok(first) = self.unheard.1.recv().await {
+            let mut batch = Vec::new();
+            self.add(&mut batch, first);
+            let (mut rest, mut answer_timeout) = (REST.0, ANSWER_TIMEOUT.0);
+            loop {
+                self.add_queued(&mut batch, &self.unheard.1);
+                let Err(failure) = self.post_batch(&batch, answer_timeout).await else {
+                    break;
+                };
+                log_failure(&failure, &batch);
+                answer_timeout = (answer_timeout * 2).min(ANSWER_TIMEOUT.1);
+                let rested = self.discovery.while_there(self.wheel.sleep(rest)).await;
+                rest = rested.map_or(REST.0, |()| (rest * 2).min(REST.1));
+            }
+            self.release(batch);
+        }
+    }
+
+    fn add(&self, batch: &mut Vec<Notice>, notice: Notice) {
+        batch.push(notice);
+        self.in_flight.set(self.in_flight.get() + 1);
+    }
+
+    /// Adds to a batch what is queued, as far as it has room.
+    fn add_queued(&self, batch: &mut Vec<Notice>, queue: &Receiver<Notice>) {
+        while batch.len() < MAX_BATCH {
+            let Ok(notice) = queue.try_recv() else { return };
+            self.add(batch, notice);
+        }
+    }
+
+    /// Lets those go who wait for a batch to be heard.
+    fn release(&self, batch: Vec<Notice>) {
+        self.in_flight.set(self.in_flight.get() - batch.len());
         let (first, count) = (&batch[0], batch.len());
-        let (mut rest, mut answer_timeout) = (REST.0, ANSWER_TIMEOUT.0);
+        let waited = first.queued_at.elapsed();
+        if waited > SLOW {
+            log::info!("notices: {count} from {} heard after {waited:?}", first.id);
+        }
+        for notice in &batch {
+            let _ = notice.heard.try_send(());
+        }
+    }
+
+    /// Sends a batch, wherever the platform is by then. A batch that the platform cannot read
+    /// counts as heard: sent again, it would be as unreadable.
+    async fn post_batch(
+        &self,
+        batch: &[Notice],
+        mut answer_timeout: Duration,
+    ) -> Result<(), PostError> {
+        let body: String = batch.iter().map(|notice| notice.line.as_str()).collect();
         loop {
-            let failure = match self.post_once(&body, answer_timeout).await {
-                Posted::Heard => break,
+            match self.post_once(&body, answer_timeout).await {
+                Posted::Heard => return Ok(()),
                 Posted::Unreadable => {
                     log::error!("notices: not readable to the platform: {body}");
-                    break;
+                    return Ok(());
                 }
                 Posted::Moved => {
+                    let (first, count) = (&batch[0], batch.len());
                     log::info!("notices: {count} from {} go to the new address", first.id);
-                    (rest, answer_timeout) = (REST.0, ANSWER_TIMEOUT.0);
-                    continue;
+                    answer_timeout = ANSWER_TIMEOUT.0;
                 }
-                Posted::Failed(failure) => failure,
-            };
-            log::warn!("notices: {failure}; {count} from {} go again", first.id);
-            answer_timeout = (answer_timeout * 2).min(ANSWER_TIMEOUT.1);
-            let rested = self.discovery.while_there(self.wheel.sleep(rest)).await;
-            rest = rested.map_or(REST.0, |()| (rest * 2).min(REST.1));
-        }
-        let waited = first.queued_at.elapsed();
-        if waited > SLOW {
-            log::info!("notices: {count} from {} heard after {waited:?}", first.id);
+                Posted::Failed(failure) => return Err(failure),
+            }
         }
     }
 
@@ -200,7 +256,7 @@
             heard,
         };
         async move {
-            if self.queue.0.try_send(notice).is_ok() {
+            if self.new.0.try_send(notice).is_ok() {
                 let _ = hears.recv().await;
             }
         }
@@ -208,6 +264,11 @@
     }
 }
 
+fn log_failure(failure: &PostError, batch: &[Notice]) {
+    let (first, count) = (&batch[0], batch.len());
+    log::warn!("notices: {failure}; {count} from {} go again", first.id);
+}
+
 /// The line for a final answer. A delivery is known to the platform and needs none, unless the
 /// platform may count it as too late; then its message has failed, and one that did not is not
 /// harmed by the notice.
