--- a/src/dispatch/list_polling.rs
+++ b/src/dispatch/list_polling.rs
@@ -29,10 +29,13 @@
 /// before some of them fail: the queue of one start in 460 is longer somewhere
 /// (`exp(-CHANCE_DEVIATIONS^2 / 2)`).
 const CHANCE_DEVIATIONS: f64 = 3.5;
-/// A poll that failed after so many seconds waited in the queue until the directory gave it up; one
-/// that failed sooner found nobody there. A directory that is down may take seconds to say no, so
-/// this is not much less than [`QUEUE_SECONDS`].
-const QUEUED_SECONDS: f64 = 2.5;
+/// Where many poll, one that failed after so many seconds waited in the queue until the directory
+/// gave it up, and one that failed sooner found nobody there. A directory that is down may take
+/// seconds to say no, so this is not much less than [`QUEUE_SECONDS`].
+const QUEUED_SECONDS_OF_MANY: f64 = 2.5;
+/// The same where few poll: all of them are told soon after a return, so that a list need not be
+/// trusted for long, and what took a while to fail may as well have waited.
+const QUEUED_SECONDS_OF_FEW: f64 = 1.0;
 /// How many times dearer polls are taken to be once one failed in the queue. Twice leaves a
 /// directory at a third of its speed with a queue that never ends for minutes (told after 231 s,
 /// ideal 50 s), four times makes the quick ones wait: 120 s and 162 s.
@@ -287,7 +290,12 @@
         let is_many = self.senders >= MANY_SENDERS;
         let waited = to_secs(now - started);
         let unanswered = waited >= poll_timeout(self.senders);
-        let queued = waited >= QUEUED_SECONDS;
+        let queued_seconds = if is_many {
+            QUEUED_SECONDS_OF_MANY
+        } else {
+            QUEUED_SECONDS_OF_FEW
+        };
+        let queued = waited >= queued_seconds;
         // Who waited in the queue, or in silence, may have missed what others were told meanwhile.
         self.may_have_missed_change |= unanswered || queued;
         // A directory that is down has told nobody. When it is back it cannot tell many within six
