--- a/src/delivery/driver/tests.rs
+++ b/src/delivery/driver/tests.rs
@@ -65,7 +65,7 @@
 }
 
 /// A message was accepted, no attempt was made, and its final answer came only after its time: its
-/// client took it for lost. Seen once in a day of many senders with little traffic each.
+/// client took it for lost. Seen on three days of many senders with little traffic each.
 ///
 /// A turn that comes when a wake-up is due asks for the next one. The timer's task, woken in the same
 /// tick, took the new wake-up for the old one and dropped it. With a list that is too old the next
--- a/src/net/platform/notices/tests.rs
+++ b/src/net/platform/notices/tests.rs
@@ -105,7 +105,7 @@
     let wheel = TimerWheel::new();
     let notices = Notices::new(Discovery::new(platform), wheel.clone());
     let executor = LocalExecutor::new();
-    let earlier: Vec<_> = told_at_ms
+    let mut earlier: Vec<_> = told_at_ms
         .iter()
         .map(|ms| {
             let (wheel, notices, ms) = (wheel.clone(), notices.clone(), *ms);
@@ -116,7 +116,6 @@
         })
         .collect();
     let all = async {
-        let mut earlier = earlier;
         if earlier_are_heard {
             for told in earlier.drain(..) {
                 told.await;
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -263,7 +263,6 @@
     );
 }
 
-/// Of many, all of whom a directory cannot tell in that time. Listed in KNOWN-RED.txt.
 /// Attempts went to endpoints that had left or drained, up to 40 s late: one of many senders
 /// trusted its list until its next ask where one had failed in the directory's line, although the
 /// directory could be reached. Without that trust a fleet stood still whose directory had been down:
