Log when lines were written, how long the endpoint list is fresh, and why

Change: RFC 3339 times to the millisecond (env_logger's humantime); list: lines after each failed poll, ended watch and move, and at each change between fresh and stale; at debug the reason why an attempt was not sent. Seen with them, three senders before a directory that refuses at once: left_ms 6499, 6999, 7999, 9999, 9999 after failures 1 to 5, basis WatchEnded, then PollFailed: each refusal makes the list fresh anew.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -204,7 +204,9 @@
 /// Runs a keeper; ends with 1 where its file has faults or it cannot serve.
 #[cfg(feature = "fleet")]
 fn keeper(file: &Path) -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .init();
     let faults: Vec<String> = match raildeal::coordination::config::Config::load(file) {
         Ok(config) => raildeal::coordination::replica::run(config)
             .err()
--- a/src/delivery/driver/mod.rs
+++ b/src/delivery/driver/mod.rs
@@ -19,6 +19,7 @@
 use crate::delivery::signal::Signal;
 use crate::delivery::timer_wheel::TimerWheel;
 use crate::delivery::{duration, DeliveryObserver, LifecycleEvent};
+use crate::dispatch::list_polling::ListStatus;
 use crate::dispatch::routing::Routes;
 use crate::{
     Action, DestinationId, Dispatcher, EndpointAddress, Event, Message, MessageId, Nanos,
@@ -83,6 +84,8 @@
     /// it: the dispatcher does not ask again for a wake-up that it has asked for, so one that the
     /// timer's task dropped, while it answers the one before, would never come.
     wake_at: Option<Instant>,
+    /// Since when the endpoint list is stale; nothing while it is fresh.
+    list_stale_since: Option<Instant>,
 }
 
 impl State {
@@ -98,6 +101,25 @@
         }
     }
 
+    /// Logs when the endpoint list becomes stale, and when it is fresh again.
+    fn log_list_transition(&mut self, now: Nanos) {
+        let Some(status) = self.dispatcher.list_status(now) else {
+            return;
+        };
+        match self.list_stale_since {
+            None if status.is_stale => {
+                log::info!("list: no new attempts: {status}");
+                self.list_stale_since = Some(Instant::now());
+            }
+            Some(since) if !status.is_stale => {
+                let stale_ms = since.elapsed().as_millis();
+                log::info!("list: attempts again after stale_ms={stale_ms}: {status}");
+                self.list_stale_since = None;
+            }
+            _ => {}
+        }
+    }
+
     /// A number that no held message has: numbers come round after 2^32 messages.
     fn next_free_id(&mut self) -> MessageId {
         loop {
@@ -146,6 +168,7 @@
             slots: HashMap::new(),
             actions: Vec::new(),
             wake_at: None,
+            list_stale_since: None,
         };
         Rc::new(DispatcherDriver {
             state: RefCell::new(state),
@@ -301,6 +324,12 @@
         self.state.borrow().dispatcher.is_list_stale(self.now())
     }
 
+    /// How fresh the endpoint list is, and when it is polled next; nothing where it is not polled
+    /// for.
+    pub fn endpoint_list_status(&self) -> Option<ListStatus> {
+        self.state.borrow().dispatcher.list_status(self.now())
+    }
+
     /// How long the endpoint list may still be relied on, if nothing is heard; nothing where it is
     /// not polled for.
     pub fn remaining_list_freshness(&self) -> Option<Duration> {
@@ -366,6 +395,7 @@
             self.carry_out(&mut state, action);
         }
         state.actions = actions;
+        state.log_list_transition(self.now());
     }
 
     fn carry_out(&self, state: &mut State, action: Action) {
--- a/src/delivery/message/attempt.rs
+++ b/src/delivery/message/attempt.rs
@@ -102,6 +102,21 @@
     }
 }
 
+/// Why an attempt that was ordered is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SendRefusal {
+    /// The endpoint drains, has left, is evacuated, or asked to wait.
+    EndpointUnavailable,
+    /// The attempt would end too late.
+    TimeUp,
+    /// Whatever the endpoint list says may have changed.
+    ListStale,
+    /// The routing table leads the message elsewhere.
+    NotRouted,
+    /// The message may have run, and may not be repeated there.
+    MayHaveRun,
+}
+
 /// One attempt that is about to begin, or in flight.
 struct Attempt<'a> {
     executor: &'a AttemptExecutor<'a>,
@@ -157,19 +172,41 @@
         begins
     }
 
-    /// Whether the endpoint may still receive this message now.
+    /// Whether the endpoint may still receive this message now; the log says why not.
     fn is_allowed(&self) -> bool {
+        let Some(refusal) = self.send_refusal() else {
+            return true;
+        };
+        let uid = &self.endpoint.entry.uid;
+        log_step!(
+            debug,
+            self.message.envelope.id,
+            "not sent to {uid}: {refusal:?}"
+        );
+        false
+    }
+
+    fn send_refusal(&self) -> Option<SendRefusal> {
         let AttemptExecutor {
             directory,
             driver,
             routing_tables,
             ..
         } = self.executor;
-        directory.admits(self.address, Instant::now())
-            && Instant::now() < self.ends_at
-            && !driver.endpoint_list_is_stale()
-            && routing_tables.allows_zone(&self.message.envelope, self.endpoint.zone)
-            && self.may_repeat()
+        let now = Instant::now();
+        if !directory.admits(self.address, now) {
+            Some(SendRefusal::EndpointUnavailable)
+        } else if now >= self.ends_at {
+            Some(SendRefusal::TimeUp)
+        } else if driver.endpoint_list_is_stale() {
+            Some(SendRefusal::ListStale)
+        } else if !routing_tables.allows_zone(&self.message.envelope, self.endpoint.zone) {
+            Some(SendRefusal::NotRouted)
+        } else if !self.may_repeat() {
+            Some(SendRefusal::MayHaveRun)
+        } else {
+            None
+        }
     }
 
     /// Whether a message that may have run already may go to this zone, by the idempotency rules
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -25,7 +25,7 @@
 
 use crate::dispatch::api::*;
 use crate::dispatch::endpoint_health::EndpointState;
-use crate::dispatch::list_polling::EndpointListPoller;
+use crate::dispatch::list_polling::{EndpointListPoller, ListStatus};
 use crate::dispatch::rate_control::DestinationKindStats;
 use crate::dispatch::rate_quota::TrafficShare;
 use crate::dispatch::routing::{message_draw, RouteKey, RouteMatch, Routes};
@@ -202,6 +202,11 @@
         poller.is_some_and(|poller| poller.is_stale(now))
     }
 
+    /// How fresh the list is, and when it is polled next; nothing where it is not polled.
+    pub fn list_status(&self, now: Nanos) -> Option<ListStatus> {
+        self.poller.as_ref().map(|poller| poller.status(now))
+    }
+
     /// How long the list may still be trusted, if nothing is heard; nothing where it is not polled.
     pub fn list_remaining_freshness(&self, now: Nanos) -> Option<Nanos> {
         let poller = self.poller.as_ref();
--- a/src/dispatch/list_polling.rs
+++ b/src/dispatch/list_polling.rs
@@ -13,8 +13,9 @@
 //! cost, and whether it is too much, is learned from the answers.
 
 use crate::dispatch::rate_quota::MANY_SENDERS;
-use crate::dispatch::statistics::{from_secs, to_secs, SEC};
+use crate::dispatch::statistics::{from_secs, to_secs, MS, SEC};
 use crate::{Nanos, Settings};
+use std::fmt;
 
 /// What one poll costs the directory until an answer has shown more, in seconds: 55 ms seen.
 const INITIAL_COST: f64 = 0.055;
@@ -113,6 +114,52 @@
     took_seconds.clamp(INITIAL_COST / 2.0, INITIAL_COST)
 }
 
+/// What the freshness of the list rests on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FreshnessBasis {
+    /// Nothing but the start: no process was before this one.
+    #[default]
+    Start,
+    /// What the process before noted.
+    RestartNote,
+    /// The directory's last word: an answer, or an event of the watch.
+    DirectoryEvent,
+    /// The watch ended.
+    WatchEnded,
+    /// A poll that failed.
+    PollFailed,
+    /// The directory is at another address.
+    SourceMoved,
+}
+
+/// How fresh the list is, and when the directory is polled, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListStatus {
+    /// Nothing new may be sent by it.
+    pub is_stale: bool,
+    /// It may be relied on for so long, if nothing is heard.
+    pub remaining: Nanos,
+    /// What that rests on.
+    pub basis: FreshnessBasis,
+    /// Polls and watches that failed in a row, as far as they are counted.
+    pub failures: u32,
+    /// Until the next poll; nothing while one is out, or a watch is open.
+    pub next_poll_in: Option<Nanos>,
+}
+
+impl fmt::Display for ListStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let state = if self.is_stale { "stale" } else { "fresh" };
+        let left_ms = self.remaining / MS;
+        write!(f, "{state} basis={:?} left_ms={left_ms}", self.basis)?;
+        write!(f, " failures={}", self.failures)?;
+        match self.next_poll_in {
+            Some(next) => write!(f, " next_poll_ms={}", next / MS),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Polls the directory for one sender, and judges how fresh the list is.
 #[derive(Debug, Default)]
 pub struct EndpointListPoller {
@@ -143,6 +190,8 @@
     /// or, while the directory is known to be down (or, one of many, was refused by it), after the
     /// next poll. No poll changes it before it has ended.
     fresh_until: Nanos,
+    /// What [`Self::fresh_until`] rests on.
+    freshness_basis: FreshnessBasis,
     /// The directory was there after its last event, and may have had something to tell, as a poll
     /// that waited in its queue shows, or one that was never answered.
     may_have_missed_change: bool,
@@ -176,6 +225,9 @@
         poller.next_poll_at = Some(now + poller.random_delay(draw));
         let remaining = restart.remaining_freshness;
         poller.fresh_until = now + remaining.unwrap_or(CHANGE_COUNTS_AFTER);
+        if remaining.is_some() {
+            poller.freshness_basis = FreshnessBasis::RestartNote;
+        }
         // What an agent has counts before it is polled: nobody is called until it has said what
         // that is, or that it can't.
         poller.stale_after_deadlines(now, if settings.list_pushed { 0 } else { 1 });
@@ -193,6 +245,7 @@
         self.next_poll_at = Some(now + self.random_delay(draw));
         self.stale_at = (self.deadline > 0).then(|| now + self.deadline.min(FRESH_AFTER_MOVE));
         self.fresh_until = now + FRESH_AFTER_MOVE;
+        self.freshness_basis = FreshnessBasis::SourceMoved;
         self.may_have_missed_change = false;
     }
 
@@ -244,6 +297,7 @@
         if self.watching {
             self.last_event_at = now;
             self.fresh_until = now + CHANGE_COUNTS_AFTER;
+            self.freshness_basis = FreshnessBasis::DirectoryEvent;
             self.may_have_missed_change = false;
         }
     }
@@ -283,6 +337,7 @@
             next
         };
         self.fresh_until = unchanged_until + CHANGE_COUNTS_AFTER;
+        self.freshness_basis = FreshnessBasis::WatchEnded;
     }
 
     fn poll_failed(&mut self, now: Nanos, started: Nanos, gap: Nanos, draw: impl FnOnce() -> f64) {
@@ -319,6 +374,7 @@
         if is_trusted {
             // Since the last event, as far as is known, nobody was there to tell what has changed.
             self.fresh_until = next + CHANGE_COUNTS_AFTER;
+            self.freshness_basis = FreshnessBasis::PollFailed;
         }
     }
 
@@ -338,6 +394,17 @@
         self.fresh_until.saturating_sub(now)
     }
 
+    /// How fresh the list is, and when the directory is polled next.
+    pub fn status(&self, now: Nanos) -> ListStatus {
+        ListStatus {
+            is_stale: self.is_stale(now),
+            remaining: self.remaining_freshness(now),
+            basis: self.freshness_basis,
+            failures: self.failures.unsigned_abs(),
+            next_poll_in: self.next_poll_at.map(|at| at.saturating_sub(now)),
+        }
+    }
+
     /// When the next poll is due.
     pub fn next_poll_at(&self) -> Option<Nanos> {
         self.next_poll_at
--- a/src/main.rs
+++ b/src/main.rs
@@ -95,6 +95,7 @@
     env_logger::Builder::new()
         .parse_filters(&with_present_paths(&filters))
         .parse_write_style(&std::env::var("RUST_LOG_STYLE").unwrap_or_default())
+        .format_timestamp_millis()
         .init();
     let config = configuration(source.as_deref());
     let executor = Rc::new(LocalExecutor::new());
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -62,6 +62,7 @@
                 Some(ended) => {
                     faults.tell(ended, began.elapsed());
                     self.driver.report_list_failure();
+                    self.log_list_status();
                     self.note_trust();
                 }
                 None => self.move_on(),
@@ -73,6 +74,13 @@
     fn move_on(&self) {
         self.directory.expect_new_source();
         self.driver.report_list_source_change();
+        self.log_list_status();
+    }
+
+    fn log_list_status(&self) {
+        if let Some(status) = self.driver.endpoint_list_status() {
+            log::info!("list: {status}");
+        }
     }
 
     async fn follow(&self) -> io::Result<()> {
