Add four failing tests of drains that a refusing directory cannot tell

Real processes before a directory that is there and refuses each poll from second 4 to 16, with drains at 8 and 9: after a move by SIGHUP, for few senders, with refusals that take 0.8 s, and across a kill. The harness judges now that a change counts as told six seconds after the directory had it and could be reached, whoever was told.

--- a/test-harness/src/directory.rs
+++ b/test-harness/src/directory.rs
@@ -32,8 +32,10 @@
     /// A notice that is taken is answered so much later.
     notice_answer_after: Duration,
     down: bool,
-    /// Asks are answered 503 at once.
+    /// Asks are answered 503, without waiting in the queue.
     busy: bool,
+    /// After so long.
+    refuses_after: Duration,
     /// Changes are told to nobody who watches.
     quiet: bool,
     /// Asks are taken and never answered.
@@ -118,8 +120,11 @@
             .iter_mut()
             .filter(|t| t["uid"] == uid)
             .for_each(|t| t["state"] = condition.into());
-        let quiet = state.quiet;
+        let (quiet, down) = (state.quiet, state.down);
         drop(state);
+        if !down {
+            self.shared.record.lists(uid, condition == "active");
+        }
         // What is told to nobody counts for nobody.
         if !quiet {
             self.shared.record.wants(uid, condition == "active");
@@ -146,11 +151,24 @@
         self.shared.state().mute = false;
     }
 
-    /// Answers 503 to each ask at once, or serves them again.
+    /// Answers 503 to each ask, or serves them again.
     pub fn busy(&self, busy: bool) {
         self.shared.state().busy = busy;
     }
 
+    /// Takes so long to refuse an ask while it is busy.
+    pub fn refuses_after(&self, time: Duration) {
+        self.shared.state().refuses_after = time;
+    }
+
+    /// Resets all watches.
+    pub fn resets_watches(&self) {
+        let watches = std::mem::take(&mut self.shared.state().watches);
+        for watch in watches {
+            let _ = watch.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Writes the list of each answer so long after its head.
     pub fn lists_after(&self, head: Duration) {
         self.shared.state().list_after = head;
@@ -172,10 +190,22 @@
         state.down = down;
         if down {
             state.queue.clear();
-            state
-                .watches
-                .drain(..)
-                .for_each(|w| drop(w.shutdown(Shutdown::Both)));
+        }
+        let is_changed = |uid: &str| state.changed.contains_key(uid);
+        let changes: Vec<(String, bool)> = state
+            .targets
+            .iter()
+            .filter_map(|t| Some((t["uid"].as_str()?.to_string(), t["state"] == "active")))
+            .filter(|(uid, _)| is_changed(uid))
+            .collect();
+        drop(state);
+        if down {
+            self.resets_watches();
+        } else {
+            // What changed while nobody could ask counts from now on.
+            for (uid, wants) in changes {
+                self.shared.record.lists(&uid, wants);
+            }
         }
     }
 }
@@ -260,7 +290,10 @@
         }
         shared.record.seen().asks += 1;
         if state.busy {
+            let refuses_after = state.refuses_after;
+            drop(state);
             shared.record.seen().failed += 1;
+            thread::sleep(refuses_after);
             return stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
         }
         if state.mute {
--- a/test-harness/src/record.rs
+++ b/test-harness/src/record.rs
@@ -19,6 +19,10 @@
 /// machine may add.
 const GRACE: Duration = Duration::from_millis(250 + 500);
 
+/// A change counts as told so long after the directory had it and could be reached, whether or not
+/// it arrived, by the standing test.
+const COUNTS_AS_TOLD: Duration = Duration::from_secs(6);
+
 /// By the settings that the fleets of this rig are given, changes of the list count as told after
 /// so long without an ask.
 pub(crate) const MUST_ASK_IN: Duration = Duration::from_secs(10);
@@ -137,6 +141,8 @@
     pub lateness: Duration,
     /// When a sender was told that an endpoint drains or is gone.
     drains: BTreeMap<(String, String), Instant>,
+    /// Endpoints that a directory that can be reached lists as draining or gone, and since when.
+    listed_drains: BTreeMap<String, Instant>,
     /// Senders that hear nothing, or later than it is said: their lines are broken, or they stand
     /// still.
     deaf: BTreeSet<String>,
@@ -563,8 +569,14 @@
                 && !seen.unseen.contains(&by)
                 && seen.asked.get(&by).is_none_or(|asked| asked < since)
         });
+        let is_cut_off = seen.deaf.contains(&by) || seen.unseen.contains(&by);
+        let listed = seen.listed_drains.get(uid).filter(|_| !is_cut_off);
         let since = [
             ("told", told.copied()),
+            (
+                "listed six seconds before",
+                listed.map(|since| *since + COUNTS_AS_TOLD),
+            ),
             ("counts as told", untold.map(|since| *since + MUST_ASK_IN)),
         ];
         let breach = since
@@ -589,6 +601,18 @@
         }
     }
 
+    /// A directory that can be reached lists an endpoint as one that wants calls, or none.
+    pub fn lists(&self, uid: &str, wants: bool) {
+        let mut seen = self.seen();
+        if wants {
+            seen.listed_drains.remove(uid);
+        } else {
+            seen.listed_drains
+                .entry(uid.to_string())
+                .or_insert_with(Instant::now);
+        }
+    }
+
     /// A sender starts with the list that it is given. What its last process was told, it is not.
     pub fn starts(&self, sender: &str) {
         self.asks(sender);
--- a/test-harness/src/scenario/deeds.rs
+++ b/test-harness/src/scenario/deeds.rs
@@ -148,6 +148,10 @@
     DirectoryBack,
     /// It answers 503 to each ask, or serves them again.
     Busy(bool),
+    /// It takes so many milliseconds to refuse an ask while it is busy.
+    RefusesAfterMs(u64),
+    /// It resets all watches.
+    ResetWatches,
     /// It tells nobody of changes, or does again.
     Quiet(bool),
     /// It needs so many milliseconds for an ask.
--- a/test-harness/src/scenario/play.rs
+++ b/test-harness/src/scenario/play.rs
@@ -546,6 +546,10 @@
             Deed::DirectoryDown => self.directories(|d| d.down(true)),
             Deed::DirectoryBack => self.directories(|d| d.down(false)),
             Deed::Busy(busy) => self.directories(|d| d.busy(*busy)),
+            Deed::RefusesAfterMs(ms) => {
+                self.directories(|d| d.refuses_after(Duration::from_millis(*ms)));
+            }
+            Deed::ResetWatches => self.directories(|d| d.resets_watches()),
             Deed::Quiet(quiet) => self.directories(|d| d.quiet(*quiet)),
             Deed::AskMs(ms) => self.directories(|d| d.takes(Duration::from_millis(*ms))),
             Deed::Drain(uid) => self.directories(|d| d.change(uid, "leaving")),
--- a/tests/multi_process/main.rs
+++ b/tests/multi_process/main.rs
@@ -151,6 +151,30 @@
     schedule("move.toml");
 }
 
+/// Guards against new work at drained endpoints by a list that refusals kept fresh.
+#[test]
+fn a_directory_that_refuses_after_a_move_keeps_no_list_fresh() {
+    schedule("refuses_hang_up.toml");
+}
+
+/// The same for few senders, which poll without spreading.
+#[test]
+fn a_directory_that_refuses_few_senders_keeps_no_list_fresh() {
+    schedule("refuses_few.toml");
+}
+
+/// The same where refusals take a while, as those of a directory that is down may.
+#[test]
+fn a_directory_that_refuses_after_a_while_keeps_no_list_fresh() {
+    schedule("refuses_slowly.toml");
+}
+
+/// The same across a kill: the next process must not trust the list for longer.
+#[test]
+fn a_directory_that_refuses_across_a_restart_keeps_no_list_fresh() {
+    schedule("refuses_restart.toml");
+}
+
 #[test]
 fn machines_that_stood_still_call_nobody_that_drained_meanwhile() {
     schedule("stop.toml");
