Rely on the list for no longer because the directory moved

What callers would see: new work at drained endpoints for 4 s after each SIGHUP that names another address, without end where such configurations follow each other. Cause: source_moved set both ends of the trust to 4 s from the move, also where they lay before that, or the list was stale already; and the shorter trust was not noted, so that a process started right after a move relied on the list for up to 6 s. Evidence: three senders, moves at 4, 7.5, 11 and 14.5 s before a directory that refuses, drains at 8: 4 attempts later than the bound; the note said 5999 ms after a move. Change: a move only brings the end nearer, and is noted. Tests, failing before: no_move_of_the_directory_puts_ off_when_changes_count, a_directory_that_moves_and_refuses_keeps_no_list_fresh, a_move_is_noted_for_ the_next_process. One line of what_a_silent_watch_or_ask_missed asserted the fault (a list stale for 35 s was fresh again after a move): it asserts now that it stays stale.

--- a/src/dispatch/list_polling.rs
+++ b/src/dispatch/list_polling.rs
@@ -48,8 +48,8 @@
 /// How many times longer a list counts as true after a poll that failed than after none, by the
 /// settings' page.
 const DEADLINES_AFTER_FAILURE: Nanos = 4;
-/// Changes count as told so long after a move of the directory, by the operators' page on new
-/// configurations; polling does not change that.
+/// Changes count as told so long after a move of the directory at the latest, by the operators' page
+/// on new configurations; polling does not change that.
 const FRESH_AFTER_MOVE: Nanos = 4 * SEC;
 /// A watch that has a heartbeat tells within so many beats, whatever the settings say: the one that
 /// is silent for longer is given up.
@@ -250,9 +250,14 @@
         self.poll_started_at = None;
         self.failures = 0;
         self.next_poll_at = Some(now + self.random_delay(draw));
-        self.stale_at = (self.deadline > 0).then(|| now + self.deadline.min(FRESH_AFTER_MOVE));
-        self.fresh_until = now + FRESH_AFTER_MOVE;
-        self.freshness_basis = FreshnessBasis::SourceMoved;
+        if self.deadline > 0 {
+            let stale_at = now + self.deadline.min(FRESH_AFTER_MOVE);
+            self.stale_at = Some(self.stale_at.map_or(stale_at, |at| at.min(stale_at)));
+        }
+        if now + FRESH_AFTER_MOVE < self.fresh_until {
+            self.fresh_until = now + FRESH_AFTER_MOVE;
+            self.freshness_basis = FreshnessBasis::SourceMoved;
+        }
         self.may_have_missed_change = false;
     }
 
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -75,6 +75,7 @@
         self.directory.expect_new_source();
         self.driver.report_list_source_change();
         self.log_list_status();
+        self.note_trust();
     }
 
     fn log_list_status(&self) {
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -329,6 +329,24 @@
     assert_eq!(stale_from(300), Some(11), "six seconds after that poll");
 }
 
+/// Guards against new work at drained endpoints by a list that moves of the directory kept fresh:
+/// neither several in a row nor one after the list has become stale put off when changes count.
+#[test]
+fn no_move_of_the_directory_puts_off_when_changes_count() {
+    for senders in [3, 300] {
+        let mut poller = start(0, senders, 10 * SEC, || 0.0);
+        assert!(poller.begin_due_poll(0));
+        poller.record_event(MS);
+        poller.record_event(2 * SEC);
+        for moved_at in [3, 5, 6, 8, 20] {
+            poller.source_moved(moved_at * SEC, || 0.0);
+            let context = format!("{senders} senders, move at {moved_at} s");
+            assert_eq!(poller.is_stale(moved_at * SEC), moved_at >= 7, "{context}");
+            assert!(poller.is_stale(7 * SEC), "{context}");
+        }
+    }
+}
+
 /// Guards against new work at drained endpoints in a fleet of hundreds whose directory is up and
 /// refuses after as long as one that is down.
 #[test]
@@ -444,7 +462,7 @@
         "silence is no line"
     );
     refused.source_moved(41 * SEC, || 0.0);
-    assert!(!refused.is_stale(45 * SEC - 1) && refused.is_stale(45 * SEC));
+    assert!(refused.is_stale(41 * SEC), "a move tells nothing");
 }
 
 #[test]
--- a/tests/multi_process/main.rs
+++ b/tests/multi_process/main.rs
@@ -157,6 +157,12 @@
     schedule("refuses_hang_up.toml");
 }
 
+/// The same where the directory moves again and again: no move makes the list fresh.
+#[test]
+fn a_directory_that_moves_and_refuses_keeps_no_list_fresh() {
+    schedule("refuses_moves.toml");
+}
+
 /// The same for few senders, which poll without spreading.
 #[test]
 fn a_directory_that_refuses_few_senders_keeps_no_list_fresh() {
--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -123,6 +123,37 @@
     rig.finish(&["m1", "m2", "m3"]);
 }
 
+/// Guards against new work at drained endpoints by a restart right after a move, which would rely
+/// on the list for as long as before it.
+#[test]
+fn a_move_is_noted_for_the_next_process() {
+    let mut rig = Rig::<Http>::start(&[("p", "a")]);
+    let note = rig.state().join("trusted");
+    let trusted_ms = || {
+        let text = std::fs::read_to_string(&note).unwrap_or_default();
+        let numbers: Vec<u64> = text.split_whitespace().flat_map(str::parse).collect();
+        numbers
+            .get(1)
+            .zip(numbers.first())
+            .map(|(until, at)| until - at)
+    };
+    until("a list that is relied on", || {
+        trusted_ms().is_some_and(|ms| ms > 4_000)
+    });
+    let next = Discovery::start_from(rig.discovery.rev() + 1, rig.discovery.targets());
+    next.freeze(true);
+    let _old = rig.move_discovery(next);
+    until("a watch at the new address", || {
+        rig.discovery.asked().len() == 1
+    });
+    assert!(
+        trusted_ms().is_some_and(|ms| ms <= 4_000),
+        "{:?}",
+        trusted_ms()
+    );
+    rig.finish(&[]);
+}
+
 #[test]
 fn a_file_that_cannot_be_used_changes_nothing() {
     let mut rig = Rig::<Http>::start(&[("p", "a")]);
