Count the freshness of an answer from when it was asked for

What callers would see: new work at drained endpoints for up to 3.5 s (few senders) or 6 s (many) longer, where a directory answers late and then says nothing more. Cause: the six seconds began when an answer was read, though it may say what held when it was asked for: a lease that began with the reply, not with the request. Change: they begin with the poll; each event of the watch renews them. Test, failing before: an_answer_counts_from_when_it_was_asked_for. Three tests whose answers took a second asserted the later bound: their answers take a millisecond now, bounds as they were.

--- a/src/dispatch/list_polling.rs
+++ b/src/dispatch/list_polling.rs
@@ -175,8 +175,8 @@
     poll_started_at: Option<Nanos>,
     /// The list is told as it changes.
     watching: bool,
-    /// When the last event came over the watch; each is one that nothing else has changed until
-    /// then.
+    /// When the last event came over the watch, or the poll began that it answered; each is one
+    /// that nothing else has changed until then.
     last_event_at: Nanos,
     /// From when on what has changed counts as told, though nobody told it.
     stale_at: Option<Nanos>,
@@ -298,6 +298,8 @@
     /// The directory answered, or said over the watch that there is a change, or none. A list that
     /// was there from the start is no event of it.
     pub fn record_event(&mut self, now: Nanos) {
+        // What is answered may have held when the poll began, and no longer.
+        let holds_at = self.poll_started_at.unwrap_or(now);
         if let Some(started) = self.poll_started_at.take() {
             let took = to_secs(now - started);
             self.cost = self.cost.min(took).max(MIN_COST);
@@ -307,8 +309,8 @@
             self.stale_at = None;
         }
         if self.watching {
-            self.last_event_at = now;
-            self.fresh_until = now + CHANGE_COUNTS_AFTER;
+            self.last_event_at = holds_at;
+            self.fresh_until = holds_at + CHANGE_COUNTS_AFTER;
             self.freshness_basis = FreshnessBasis::DirectoryEvent;
             self.may_have_missed_change = false;
         }
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -347,6 +347,20 @@
     }
 }
 
+/// Guards against new work at drained endpoints by a list that was old when it came: an answer may
+/// say what held when it was asked for, however late it is read.
+#[test]
+fn an_answer_counts_from_when_it_was_asked_for() {
+    for (senders, waited) in [(3, 3 * SEC), (300, 5 * SEC)] {
+        let mut poller = start(0, senders, 10 * SEC, || 0.0);
+        assert!(poller.begin_due_poll(SEC));
+        poller.record_event(SEC + waited);
+        assert!(!poller.is_stale(7 * SEC - 1) && poller.is_stale(7 * SEC));
+        poller.record_failure(SEC + waited + MS, || 0.0);
+        assert!(!poller.is_stale(7 * SEC - 1) && poller.is_stale(7 * SEC));
+    }
+}
+
 /// Guards against new work at drained endpoints in a fleet of hundreds whose directory is up and
 /// refuses after as long as one that is down.
 #[test]
@@ -368,8 +382,8 @@
 #[test]
 fn a_machine_that_stood_still_knows_nothing_until_it_hears_something() {
     let mut poller = start(0, 3, 10 * SEC, || 0.0);
-    assert!(poller.begin_due_poll(0));
-    poller.record_event(SEC);
+    assert!(poller.begin_due_poll(SEC));
+    poller.record_event(SEC + MS);
     assert!(
         !poller.is_stale(7 * SEC - 1) && poller.is_stale(7 * SEC),
         "the watch looks whole"
@@ -377,8 +391,8 @@
     poller.record_event(20 * SEC);
     assert!(!poller.is_stale(20 * SEC), "it was");
     let mut quick = start(0, 3, SEC, || 0.0);
-    assert!(quick.begin_due_poll(0));
-    quick.record_event(SEC);
+    assert!(quick.begin_due_poll(SEC));
+    quick.record_event(SEC + MS);
     assert!(
         !quick.is_stale(4 * SEC) && quick.is_stale(5 * SEC),
         "a watch is not to say more than it does"
@@ -421,8 +435,8 @@
 #[test]
 fn what_a_silent_watch_or_ask_missed_counts_six_seconds_later_however_often_it_is_asked_again() {
     let mut poller = start(0, 3, 10 * SEC, || 0.0);
-    assert!(poller.begin_due_poll(0));
-    poller.record_event(SEC);
+    assert!(poller.begin_due_poll(SEC));
+    poller.record_event(SEC + MS);
     poller.record_failure(SEC + secs(3.5), || 0.0);
     assert!(poller.begin_due_poll(5 * SEC));
     assert!(
@@ -504,8 +518,8 @@
     };
     let mut killed = start(Some(4 * SEC));
     assert!(!killed.is_stale(64 * SEC - 1) && killed.is_stale(64 * SEC));
-    assert!(killed.begin_due_poll(74 * SEC));
-    killed.record_event(75 * SEC);
+    assert!(killed.begin_due_poll(75 * SEC));
+    killed.record_event(75 * SEC + MS);
     assert!(
         !killed.is_stale(76 * SEC) && killed.remaining_freshness(76 * SEC) == 5 * SEC,
         "it is told"
