Rely on no pushed list while its agent answers something else

What callers would see: new work at endpoints that the agent lists as drained, for up to 6 s after the agent refused a poll or ended a watch. Cause: any failed poll ended the wait for the agent's first word, as its silence does while discovery is down; but an agent that is not silent has a list, which counts as told at once. Evidence: a 503 to the first poll, and a call by the configuration's list within it. Change: after a refusal, or a watch that ended otherwise than in silence, nothing is sent until an answer. Tests, failing before: a_pushed_list_is_not_relied_on_while_its_agent_answers_otherwise, what_is_pushed_counts_though_its_ agent_refuses_polls.

--- a/src/dispatch/list_polling.rs
+++ b/src/dispatch/list_polling.rs
@@ -57,6 +57,8 @@
 /// A change counts as told so long after the directory had it and could be reached, by the
 /// operators' page: whatever became of polls, and whether or not anything was polled.
 const CHANGE_COUNTS_AFTER: Nanos = 6 * SEC;
+/// A watch that ended so long after its next event was due had fallen silent: what delays an event.
+const SILENCE_MARGIN: Nanos = SEC;
 /// Least time that the answer to a poll is waited for, in seconds. The directory gives up after 3 s
 /// and says so: a poll that is given up later than that has met silence and no queue.
 const MIN_POLL_TIMEOUT: f64 = 3.5;
@@ -158,6 +160,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointListPoller {
     senders: u32,
+    /// An agent pushes the list: whatever it has counts as told at once.
+    list_pushed: bool,
     /// How many are thought to poll together with this one, until a poll has shown that there are
     /// more.
     polling_together: u32,
@@ -223,6 +227,7 @@
         };
         let mut poller = EndpointListPoller {
             senders,
+            list_pushed: settings.list_pushed,
             polling_together,
             deadline,
             heartbeat: settings.watch_heartbeat,
@@ -341,12 +346,20 @@
             self.fresh_until = now + CHANGE_COUNTS_AFTER;
         }
         self.stale_after_deadlines(self.last_event_at, 1);
+        let silent_from = self.last_event_at + self.heartbeat + SILENCE_MARGIN;
+        if self.list_pushed && now < silent_from {
+            self.record_missed_push(now);
+        }
         self.next_poll_at = Some(now + gap + self.random_delay(draw));
     }
 
     fn poll_failed(&mut self, now: Nanos, started: Nanos, gap: Nanos, draw: impl FnOnce() -> f64) {
-        self.stale_after_deadlines(started, DEADLINES_AFTER_FAILURE);
         let failure = self.poll_failure(to_secs(now - started));
+        if self.list_pushed && (failure != PollFailure::Unanswered || self.may_have_missed_change) {
+            self.record_missed_push(now);
+        } else {
+            self.stale_after_deadlines(started, DEADLINES_AFTER_FAILURE);
+        }
         self.may_have_missed_change |= failure != PollFailure::Unclear;
         if self.seems_down() {
             let until = started + CHANGE_COUNTS_AFTER;
@@ -373,6 +386,12 @@
         self.next_poll_at = Some(next);
     }
 
+    /// An agent that is not silent did not say what it has: that counts, and is not known.
+    fn record_missed_push(&mut self, now: Nanos) {
+        self.may_have_missed_change = true;
+        self.stale_after_deadlines(now, 0);
+    }
+
     fn poll_failure(&self, waited_seconds: f64) -> PollFailure {
         if waited_seconds >= poll_timeout(self.senders) {
             PollFailure::Unanswered
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -361,6 +361,36 @@
     }
 }
 
+/// Guards against new work at endpoints that an agent lists as drained: what it has counts at once,
+/// also while it refuses polls, or after it has ended the watch.
+#[test]
+fn a_pushed_list_is_not_relied_on_while_its_agent_answers_otherwise() {
+    let settings = Settings {
+        senders: 300,
+        list_pushed: true,
+        watch_heartbeat: 2 * SEC,
+        ..Settings::default()
+    };
+    let never = || unreachable!("nothing is spread");
+    let mut poller = EndpointListPoller::new(SEC, &settings, never);
+    assert!(poller.begin_due_poll(SEC));
+    poller.record_failure(SEC + MS, never);
+    assert!(poller.is_stale(SEC + MS), "refused");
+    let next = poller.next_poll_at().expect("settled");
+    assert!(poller.begin_due_poll(next));
+    poller.record_event(next + MS);
+    assert!(!poller.is_stale(next + MS));
+    poller.record_failure(next + SEC, never);
+    assert!(poller.is_stale(next + SEC), "the watch was ended");
+    let again = poller.next_poll_at().expect("settled");
+    assert!(poller.begin_due_poll(again));
+    poller.record_failure(again + secs(3.5), never);
+    assert!(
+        poller.is_stale(again + secs(3.5)),
+        "it fell silent later than that"
+    );
+}
+
 /// Guards against new work at drained endpoints in a fleet of hundreds whose directory is up and
 /// refuses after as long as one that is down.
 #[test]
--- a/tests/sockets/lists.rs
+++ b/tests/sockets/lists.rs
@@ -298,6 +298,24 @@
     call.answer(Answer::Delivered);
 }
 
+/// Guards against new work at endpoints that an agent lists as drained, while it refuses polls.
+#[test]
+fn what_is_pushed_counts_though_its_agent_refuses_polls() {
+    let play = Play::told("automatic");
+    let mut ask = play.ask();
+    ask.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    play.hand_in("m1");
+    let mut ask = play.ask();
+    assert!(
+        play.providers.calls.try_recv().is_err(),
+        "by the list of the configuration"
+    );
+    ask.answer(&play.list(5, ["leaving", "active"]));
+    let call = play.call();
+    assert_eq!(call.provider, "q");
+    call.answer(Answer::Delivered);
+}
+
 #[test]
 fn what_is_pushed_counts_from_the_first_moment_of_a_process() {
     let play = Play::told("automatic");
