Take no answer that is older than the held list for a word of the directory

What callers would see: new work at drained endpoints without end, where a directory answers a revision older than the held one and beats on: the list was ignored, the answer and the beats made the held list fresh. Change: such an answer ends the watch (watch: revision 4 is older than the held 5) and the directory is polled again. Test, failing before: an_answer_that_is_older_than_the_held_ list_is_no_word_of_the_directory.

--- a/src/delivery/endpoint_directory/mod.rs
+++ b/src/delivery/endpoint_directory/mod.rs
@@ -97,6 +97,12 @@
         self.revision.get()
     }
 
+    /// The revision that no update of the present source may be older than; nothing before its
+    /// first complete list.
+    pub fn newest_revision(&self) -> Option<u64> {
+        self.revision.get().filter(|_| !self.source_changed.get())
+    }
+
     /// Takes the next complete list whatever its revision: it comes from another source.
     pub fn expect_new_source(&self) {
         self.source_changed.set(true);
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -4,6 +4,7 @@
 use super::http::{self, Body, Chunks};
 use super::list::{self, Objects, Said};
 use crate::delivery::driver::DispatcherDriver;
+use crate::delivery::endpoint::EndpointListUpdate;
 use crate::delivery::endpoint_directory::EndpointDirectory;
 use crate::delivery::journal::persistent_clock::PersistentClock;
 use crate::delivery::journal::restart_state;
@@ -131,8 +132,9 @@
             match said {
                 Said::NoChange => no_change = true,
                 Said::Object(object) => {
-                    self.driver
-                        .apply_list_update(&list::read(&object).map_err(spoilt)?);
+                    let update = list::read(&object).map_err(spoilt)?;
+                    self.check_revision(&update)?;
+                    self.driver.apply_list_update(&update);
                     // It may be no newer than what is held, which is an answer too.
                     no_change |= !answered && !any;
                 }
@@ -145,6 +147,19 @@
         Ok(any)
     }
 
+    /// A directory that is behind the held list knows nothing of what has changed since, and its
+    /// watch tells nothing of it.
+    fn check_revision(&self, update: &EndpointListUpdate) -> io::Result<()> {
+        let revision = update.revision;
+        match self.directory.newest_revision() {
+            Some(held) if revision < held => {
+                let text = format!("revision {revision} is older than the held {held}");
+                Err(io::Error::other(text))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Notes for the next process how long the list that it begins with may be trusted.
     fn note_trust(&self) {
         let Some(trusted_for) = self.driver.remaining_list_freshness() else {
--- a/tests/sockets/lists.rs
+++ b/tests/sockets/lists.rs
@@ -316,6 +316,20 @@
     call.answer(Answer::Delivered);
 }
 
+/// Guards against new work at drained endpoints by a list that a directory vouches for which is
+/// behind it: its answers and beats say nothing of what has changed since.
+#[test]
+fn an_answer_that_is_older_than_the_held_list_is_no_word_of_the_directory() {
+    const SOONER_THAN_SILENCE: Duration = Duration::from_secs(2);
+    let play = Play::start();
+    play.ask().answer(&play.list(5, ["leaving", "active"]));
+    let mut behind = play.ask();
+    behind.answer(&play.list(4, ["active", "leaving"]));
+    let ask = play.asks.recv_timeout(SOONER_THAN_SILENCE);
+    assert_eq!(ask.expect("asked again").since, 5);
+    play.serves("m1", "q");
+}
+
 #[test]
 fn what_is_pushed_counts_from_the_first_moment_of_a_process() {
     let play = Play::told("automatic");
