Keep a drain that was told when a new source lists an older revision

What callers would see: new work at a drained endpoint after a SIGHUP to a directory that is behind. Cause: after a move a complete list counts whatever its revision, as a directory may count anew, and with it the endpoint's earlier state. Change: where that revision is lower, an endpoint known to drain goes on draining until a later update of it. Test, failing before: a_drain_that_was_told_outlives_an_older_list_after_a_move. One that had left before the move and is listed by the new source counts as new, as before.

--- a/src/delivery/endpoint_directory/mod.rs
+++ b/src/delivery/endpoint_directory/mod.rs
@@ -126,6 +126,7 @@
             );
             return None;
         }
+        let is_behind = self.revision.get().is_some_and(|r| update.revision < r);
         let is_first = self.revision.replace(Some(update.revision)).is_none();
         let mut disconnect = Vec::new();
         if update.complete {
@@ -136,7 +137,12 @@
             .extend(update.entries.iter().map(|e| e.dest));
         let mut listings = Vec::with_capacity(update.entries.len());
         for entry in &update.entries {
-            listings.push(self.apply_entry(entry, &mut disconnect));
+            let mut entry = entry.clone();
+            // A new source may be behind the one before, which has told that this endpoint drains.
+            if is_behind && self.is_draining(&entry.uid) {
+                entry.condition = Condition::Draining;
+            }
+            listings.push(self.apply_entry(&entry, &mut disconnect));
         }
         self.warn_of_unroutable_destinations();
         self.override_conditions(&mut listings);
@@ -178,6 +184,12 @@
         unlisted
     }
 
+    fn is_draining(&self, uid: &str) -> bool {
+        let endpoints = self.endpoints.borrow();
+        let endpoint = endpoints.get(&self.handle(uid));
+        endpoint.is_some_and(|e| e.entry.condition == Condition::Draining)
+    }
+
     /// Applies one entry. Adds to `disconnect` what is not to be connected to any more.
     fn apply_entry(&self, entry: &EndpointEntry, disconnect: &mut Vec<Rc<Endpoint>>) -> Listing {
         let handle = self.handle(&entry.uid);
--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -123,6 +123,30 @@
     rig.finish(&["m1", "m2", "m3"]);
 }
 
+/// Guards against new work at a drained endpoint after a move to a directory that is behind the one
+/// before.
+#[test]
+fn a_drain_that_was_told_outlives_an_older_list_after_a_move() {
+    let mut rig = Rig::<Http>::start(&[("p", "a"), ("q", "b")]);
+    let before = rig.discovery.targets();
+    rig.drain("p");
+    let _old = rig.move_discovery(Discovery::start_from(1, before));
+    until("a watch at the new address", || {
+        rig.discovery.asked().len() == 1
+    });
+    rig.add_provider("r", "b");
+    rig.program.says("provider r ");
+    let ids: Vec<String> = (0..12).map(|i| format!("m{i}")).collect();
+    for id in &ids {
+        rig.take_on(&message(id));
+        let call = rig.call();
+        assert_ne!(call.provider, "p");
+        call.answer(Answer::Delivered);
+    }
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    rig.finish(&ids);
+}
+
 /// Guards against new work at drained endpoints by a restart right after a move, which would rely
 /// on the list for as long as before it.
 #[test]
