Rely on a kept list after a restart only if it is the noted revision

What callers would see: new work at drained endpoints by a process that starts with an older list than the process before had. Cause, by reading: the note of how long the list may be relied on (trusted) does not say which list; a configuration may hold an older one. Change: the revision is noted beside it (listed, a new file; the old one keeps its bytes); a start with an older list sends nothing until the directory has answered. Test: freshness_that_was_noted_is_that_of_the_noted_ revision (new interface, not run on the code before); the new file's bytes are pinned.

--- a/src/delivery/journal/restart_state.rs
+++ b/src/delivery/journal/restart_state.rs
@@ -1,13 +1,13 @@
 //! What the process before this one left in the state folder, beside the journal.
 //!
-//! Three notes, each a file of one line: that the process ended as it was told to, how long the
-//! endpoint directory took for its last poll, and how long the endpoint list that it had may be
-//! trusted. Without the first two, a start counts as one of all senders at once, beside a directory
+//! Four notes, each a file of one line: that the process ended as it was told to, how long the
+//! endpoint directory took for its last poll, how long the endpoint list that it had may be
+//! trusted, and which revision that was. Without the first two, a start counts as one of all senders at once, beside a directory
 //! that nobody knows. Without the third there was no process before, and the list that this one is
 //! given is taken as it is.
 //!
 //! `main` reads the notes at the start and writes the first one at the end; whoever polls the
-//! directory writes the other two.
+//! directory writes the others.
 
 use crate::dispatch::list_polling;
 use crate::{Nanos, RestartState};
@@ -39,6 +39,13 @@
     valid_for_ms: u64::MAX,
 };
 
+/// Written before the freshness of another revision is: its time, and the revision.
+const LIST_REVISION: NoteFile = NoteFile {
+    name: "listed",
+    numbers: 2,
+    valid_for_ms: u64::MAX,
+};
+
 /// Why a note does not count.
 #[derive(Debug, thiserror::Error)]
 pub enum NoteError {
@@ -112,9 +119,19 @@
     note.write_all(format!("{now_unix_ms:020} {until_unix_ms:020}\n").as_bytes())
 }
 
-/// Reads what is known of the process before this one. The note of a planned end counts once: a
+/// Notes of which revision of the list the freshness is noted from now on.
+///
+/// # Errors
+/// The folder cannot be written. The next start may rely on an older list than this process does.
+pub fn note_list_revision(folder: &Path, now_unix_ms: u64, revision: u64) -> io::Result<()> {
+    let line = format!("{now_unix_ms} {revision}\n");
+    fs::write(folder.join(LIST_REVISION.name), line)
+}
+
+/// Reads what is known of the process before this one, by one that begins with this revision of the
+/// list. The note of a planned end counts once: a
 /// start that ends short leaves none.
-pub fn load(folder: &Path, now_unix_ms: u64) -> LoadedNotes {
+pub fn load(folder: &Path, now_unix_ms: u64, held_revision: Option<u64>) -> LoadedNotes {
     let mut faults = Vec::new();
     let mut read = |note: &NoteFile| {
         note.read(folder, now_unix_ms).unwrap_or_else(|fault| {
@@ -128,6 +145,16 @@
         faults.push(fault);
         Some(0)
     });
+    let is_older =
+        is_older_than_noted(folder, now_unix_ms, held_revision).unwrap_or_else(|fault| {
+            faults.push(fault);
+            true
+        });
+    let remaining_freshness = if is_older {
+        Some(0)
+    } else {
+        remaining_freshness
+    };
     let removed = PLANNED_END.remove(folder);
     // One that stays would count again and again.
     let planned = planned_end.is_some() && removed.is_ok();
@@ -143,6 +170,16 @@
     LoadedNotes { state, faults }
 }
 
+/// Whether the process before relied on a newer list than this one begins with.
+fn is_older_than_noted(
+    folder: &Path,
+    now_unix_ms: u64,
+    held_revision: Option<u64>,
+) -> Result<bool, NoteError> {
+    let noted_revision = LIST_REVISION.read(folder, now_unix_ms)?;
+    Ok(noted_revision.is_some_and(|noted| held_revision.is_none_or(|held| held < noted)))
+}
+
 /// How long the list of the process before may still be trusted; none where there was none.
 fn remaining_freshness(folder: &Path, now_unix_ms: u64) -> Result<Option<Nanos>, NoteError> {
     let until_unix_ms = LIST_FRESHNESS.read(folder, now_unix_ms)?;
--- a/src/delivery/journal/restart_state/tests.rs
+++ b/src/delivery/journal/restart_state/tests.rs
@@ -2,7 +2,7 @@
 
 /// What is read, with faults as they are logged.
 fn loaded(folder: &Path, now_unix_ms: u64) -> (RestartState, Vec<String>) {
-    let notes = load(folder, now_unix_ms);
+    let notes = load(folder, now_unix_ms, None);
     let faults = notes.faults.iter().map(ToString::to_string).collect();
     (notes.state, faults)
 }
@@ -46,14 +46,14 @@
     }
     fs::create_dir(folder.path().join(PLANNED_END.name)).expect("a folder");
     assert!(note_planned_end(folder.path(), 1).is_err());
-    assert!(!load(folder.path(), 18).state.planned);
+    assert!(!load(folder.path(), 18, None).state.planned);
 }
 
 #[test]
 fn a_list_is_trusted_as_long_as_was_noted_and_not_at_all_by_a_spoilt_note() {
     const MS: Nanos = 1_000_000;
     let folder = tempfile::tempdir().expect("a folder");
-    let left = |now| load(folder.path(), now).state.remaining_freshness;
+    let left = |now| load(folder.path(), now, None).state.remaining_freshness;
     assert_eq!(left(5), None, "no process was before");
     for at in [1_000, 99_000] {
         note_list_freshness(folder.path(), at, Duration::from_secs(6)).expect("written");
@@ -70,13 +70,33 @@
     assert_eq!(left(999), Some(0), "from the future");
 }
 
+/// Guards against new work at drained endpoints by a restart with a list that is older than the one
+/// that the process before relied on.
+#[test]
+fn freshness_that_was_noted_is_that_of_the_noted_revision() {
+    const MS: Nanos = 1_000_000;
+    let folder = tempfile::tempdir().expect("a folder");
+    note_list_freshness(folder.path(), 1_000, Duration::from_secs(6)).expect("written");
+    let left = |held| load(folder.path(), 1_000, held).state.remaining_freshness;
+    assert_eq!(
+        left(Some(40)),
+        Some(6_000 * MS),
+        "an earlier version noted none"
+    );
+    note_list_revision(folder.path(), 1_000, 41).expect("written");
+    let lefts = [None, Some(40), Some(41), Some(42)].map(left);
+    assert_eq!(lefts, [0, 0, 6_000 * MS, 6_000 * MS].map(Some));
+    fs::write(folder.path().join(LIST_REVISION.name), "1000 4").expect("written");
+    assert_eq!(left(Some(41)), Some(0), "torn");
+}
+
 #[test]
 fn what_a_poll_took_counts_for_an_hour_and_within_bounds() {
     let folder = tempfile::tempdir().expect("a folder");
     let cost = |took_ms, now| {
         let took = Duration::from_millis(took_ms);
         note_list_poll(folder.path(), 1_000, took).expect("written");
-        load(folder.path(), now).state.poll_cost_seconds
+        load(folder.path(), now, None).state.poll_cost_seconds
     };
     assert_eq!(cost(36, 1_000), Some(0.036));
     assert_eq!(
--- a/src/main.rs
+++ b/src/main.rs
@@ -252,7 +252,11 @@
 
 /// What the process before this one left.
 fn known_from_before(config: &Config, clock: &PersistentClock) -> RestartState {
-    let notes = restart_state::load(&config.state, clock.now_unix_ms());
+    let notes = restart_state::load(
+        &config.state,
+        clock.now_unix_ms(),
+        config.known.as_ref().map(|known| known.revision),
+    );
     for fault in &notes.faults {
         log::warn!("state: a note does not count: {fault}");
     }
@@ -615,6 +619,7 @@
                     .map(Duration::from_secs_f64),
             ),
             unnoted: Cell::default(),
+            noted_revision: Cell::default(),
         };
         keep(&executor, async move { watch.run(asked).await });
     }
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -45,6 +45,8 @@
     pub quickest: Cell<Option<Duration>>,
     /// That could not be noted, and the log has it.
     pub unnoted: Cell<bool>,
+    /// The revision that was noted last.
+    pub noted_revision: Cell<Option<u64>>,
 }
 
 impl Watch {
@@ -165,14 +167,26 @@
         let Some(trusted_for) = self.driver.remaining_list_freshness() else {
             return;
         };
-        let noted =
-            restart_state::note_list_freshness(&self.state, self.clock.now_unix_ms(), trusted_for);
+        let now_unix_ms = self.clock.now_unix_ms();
+        let noted = self.note_revision(now_unix_ms).and_then(|()| {
+            restart_state::note_list_freshness(&self.state, now_unix_ms, trusted_for)
+        });
         let told_before = self.unnoted.replace(noted.is_err());
         if let Some(e) = noted.err().filter(|_| !told_before) {
             log::warn!("state: trust in the list not noted: {e}");
         }
     }
 
+    /// Notes of which revision that is told, if another one was noted last.
+    fn note_revision(&self, now_unix_ms: u64) -> io::Result<()> {
+        let revision = self.directory.revision();
+        if let Some(held) = revision.filter(|_| revision != self.noted_revision.get()) {
+            restart_state::note_list_revision(&self.state, now_unix_ms, held)?;
+            self.noted_revision.set(revision);
+        }
+        Ok(())
+    }
+
     /// An ask was answered after so long.
     fn note(&self, took: Duration) {
         log::debug!("watch: answered after {took:?}");
--- a/tests/pins/state_folder.rs
+++ b/tests/pins/state_folder.rs
@@ -384,10 +384,12 @@
     let now = TAKEN_MS;
     restart_state::note_planned_end(folder.path(), now).expect("written");
     restart_state::note_list_poll(folder.path(), now, Duration::from_millis(36)).expect("written");
+    restart_state::note_list_revision(folder.path(), now, 41).expect("written");
     restart_state::note_list_freshness(folder.path(), now, Duration::from_secs(6))
         .expect("written");
     assert_eq!(read("ended"), "1700000000000\n");
     assert_eq!(read("asked"), "1700000000000 36000\n");
+    assert_eq!(read("listed"), "1700000000000 41\n");
     assert_eq!(
         read("trusted"),
         "00000001700000000000 00000001700000006000\n"
@@ -398,7 +400,8 @@
     write("ended", "1700000000000\n");
     write("asked", "1700000000000 36000\n");
     write("trusted", "00000001700000000000 00000001700000006000\n");
-    let notes = restart_state::load(folder.path(), now + 1_000);
+    write("listed", "1700000000000 41\n");
+    let notes = restart_state::load(folder.path(), now + 1_000, Some(41));
     assert!(notes.faults.is_empty(), "{:?}", notes.faults);
     let earlier = notes.state;
     assert!(earlier.planned);
