Play drains, refusals and moves of the directory in the soak, and judge them

Change: schedules draw drains (some undone), a directory that refuses for 7 to 12 s after 0, 4, 800 or 2,000 ms with single answers between, resets of all watches, and up to three moves in a row; what is broken off by a faulty line is not judged.

--- a/test-harness/src/soak.rs
+++ b/test-harness/src/soak.rs
@@ -13,7 +13,7 @@
 use crate::cold_start::NotPlayed;
 use crate::limits::Terms;
 use crate::partner::Manner;
-use crate::record::Verdict;
+use crate::record::{Record, Verdict};
 use crate::relay::{Fault, Relay};
 use crate::sender::Sender;
 use crate::stage::{Ground, Stage, Told, DESTS};
@@ -43,6 +43,8 @@
 const TERM_TO_KILL: Duration = Duration::from_millis(3_700);
 /// From SIGKILL to the next start, by the protocol.
 const KILL_TO_START: Duration = Duration::from_millis(600);
+/// Between moves of the directory that follow each other.
+const BETWEEN_MOVES: Duration = Duration::from_millis(60);
 /// Findings that are told one by one.
 const MAX_TOLD: usize = 20;
 /// A sleep that is asked for to learn how late this machine wakes.
@@ -157,7 +159,7 @@
     }
 
     /// Does what is due, and notices what has happened.
-    fn go_on(&mut self) -> Result<(), NotPlayed> {
+    fn go_on(&mut self, record: &Record) -> Result<(), NotPlayed> {
         let now = Instant::now();
         let (due, later) = self.pending.drain(..).partition(|(at, _)| *at <= now);
         self.pending = later;
@@ -166,7 +168,10 @@
         for (_, signal) in due {
             match signal {
                 Signal::Kill => self.sender.kill(),
-                Signal::Start => self.sender.spawn()?,
+                Signal::Start => {
+                    record.starts(&self.sender.name);
+                    self.sender.spawn()?;
+                }
                 Signal::GoOn => self.sender.stopped(false),
             }
         }
@@ -188,7 +193,7 @@
         Ok(())
     }
 
-    fn does(&mut self, event: &Event) -> Result<(), NotPlayed> {
+    fn does(&mut self, event: &Event, stage: &Stage) -> Result<(), NotPlayed> {
         match event {
             Event::Kill if !self.is_restarting() => {
                 self.begin_restart(Instant::now(), Instant::now())
@@ -216,7 +221,19 @@
             Event::Sockets { interrupted, short } => {
                 self.faults()?.sockets(*interrupted, *short)?;
             }
-            Event::DirectoryLine(fault) => self.line.set(*fault),
+            Event::DirectoryLine(fault) => {
+                // What the directory tells over such a line may not come, and is not judged.
+                stage.record.line_broken(&self.sender.name);
+                let is_deaf = *fault != Fault::default();
+                stage.record.deaf(&self.sender.name, is_deaf);
+                self.line.set(*fault);
+            }
+            Event::DirectoryMoves { times } if !self.is_restarting() => {
+                for _ in 0..*times {
+                    self.move_directory(stage)?;
+                    thread::sleep(BETWEEN_MOVES);
+                }
+            }
             Event::Crowd(true) => {
                 self.had_crowd = true;
                 let address = self.sender.log().address();
@@ -231,6 +248,22 @@
     }
 }
 
+impl Process {
+    /// Tells it that the directory is at another address.
+    fn move_directory(&mut self, stage: &Stage) -> Result<(), NotPlayed> {
+        let line = Relay::start(stage.directory.address)?;
+        let port = line.address.port();
+        stage.directory.names(port, &self.sender.name);
+        self.sender.move_directory(line.address)?;
+        std::mem::replace(&mut self.line, line).set(Fault {
+            cut: true,
+            ..Fault::default()
+        });
+        self.sender.hang_up();
+        Ok(())
+    }
+}
+
 /// Plays it.
 ///
 /// # Errors
@@ -262,13 +295,13 @@
     while begun.elapsed() < plan.lasts {
         while let Some(event) = events.next_if(|e| begun.elapsed() >= e.at) {
             match event.target {
-                Target::Process(n) => processes[n].does(&event.event)?,
+                Target::Process(n) => processes[n].does(&event.event, &stage)?,
                 Target::Endpoint(n) => endpoint_does(&stage, n, &event.event)?,
                 Target::Platform => platform_does(&stage, &event.event),
             }
         }
         for (n, process) in processes.iter_mut().enumerate() {
-            process.go_on()?;
+            process.go_on(&stage.record)?;
             clients.listens(n, process.sender.log());
         }
         thread::sleep(LOOK);
@@ -278,7 +311,7 @@
     let settled_by = Instant::now() + schedule.deadline + 2 * TERM_TO_KILL;
     while Instant::now() < settled_by {
         for process in &mut processes {
-            process.go_on()?;
+            process.go_on(&stage.record)?;
         }
         let is_restarting = processes.iter().any(Process::is_restarting);
         if stage.record.open() == 0 && !is_restarting {
@@ -350,6 +383,10 @@
         Event::Dies(death) => partner.dies(*death)?,
         Event::Lives => partner.lives()?,
         Event::EndpointLine(fault) => partner.line()?.set(*fault),
+        Event::Drains(drains) => {
+            let condition = if *drains { "leaving" } else { "active" };
+            stage.directory.change(&format!("s{number}"), condition);
+        }
         _ => {}
     }
     Ok(())
@@ -359,6 +396,11 @@
     match event {
         Event::NoticesAnsweredAfter(time) => stage.directory.answers_notices_after(*time),
         Event::DirectoryDown(down) => stage.directory.down(*down),
+        Event::WatchesReset => stage.directory.resets_watches(),
+        Event::DirectoryRefuses(after) => {
+            stage.directory.refuses_after(after.unwrap_or_default());
+            stage.directory.busy(after.is_some());
+        }
         _ => {}
     }
 }
@@ -367,6 +409,7 @@
 fn calm(stage: &Stage, processes: &[Process]) -> Result<(), NotPlayed> {
     stage.directory.answers_notices_after(Duration::ZERO);
     stage.directory.down(false);
+    stage.directory.busy(false);
     for partner in &stage.partners {
         partner.answers(Manner::Prompt);
         partner.lives()?;
@@ -441,6 +484,15 @@
             ));
         }
     }
-    seen.twice.iter().cloned().for_each(&mut find);
+    for text in &seen.twice {
+        let endpoint = text.split("out at s").nth(1);
+        let number = endpoint.and_then(|rest| rest.split(' ').next()?.parse().ok());
+        let before = number.map(|n| schedule.before(Target::Endpoint(n), plan.lasts));
+        find(format!("{text}; there: {before:?}"));
+    }
+    seen.breaches()
+        .into_iter()
+        .map(String::from)
+        .for_each(&mut find);
     outcome
 }
--- a/test-harness/src/soak/schedule.rs
+++ b/test-harness/src/soak/schedule.rs
@@ -13,6 +13,12 @@
 const FIRST: Duration = Duration::from_millis(500);
 /// Longest time that a fault lasts.
 const LONGEST: Duration = Duration::from_secs(4);
+/// When the directory begins to refuse asks, and for how long it does, in milliseconds: longer than
+/// changes take to count as told.
+const REFUSES_FROM_MS: std::ops::Range<u64> = 500..4_000;
+const REFUSES_FOR_MS: std::ops::Range<u64> = 7_000..12_000;
+/// How long refusals take, in milliseconds.
+const REFUSES_AFTER_MS: [u64; 4] = [0, 4, 800, 2_000];
 /// Longest that a process is held up between reading its clock and writing, by the standing test.
 const LONGEST_HOLD_UP_MS: u64 = 150;
 /// How far wall clocks are stepped, in milliseconds, each way.
@@ -90,6 +96,17 @@
     NoticesAnsweredAfter(Duration),
     /// The directory is down, or back; it takes notices all the same.
     DirectoryDown(bool),
+    /// The directory refuses asks after so long, or serves them again.
+    DirectoryRefuses(Option<Duration>),
+    /// The directory resets all watches.
+    WatchesReset,
+    /// The directory lists the endpoint as draining, or as active again.
+    Drains(bool),
+    /// The process is told so often, one after the other, that the directory is at another address.
+    DirectoryMoves {
+        /// How often.
+        times: u8,
+    },
 }
 
 /// Something that happens to somebody, so long after the beginning.
@@ -148,6 +165,9 @@
         draw.crowd(processes);
         draw.endpoints(endpoints);
         draw.platform();
+        draw.refusals();
+        draw.drains(endpoints);
+        draw.moves(processes);
         let mut events = draw.events;
         events.sort_by_key(|e| e.at);
         Schedule { deadline, events }
@@ -317,6 +337,57 @@
         }
     }
 
+    /// Refusals, most times with a reset of all watches, and single answers between them.
+    fn refusals(&mut self) {
+        if !self.chance(0.5) {
+            return;
+        }
+        let target = Target::Platform;
+        let mut at = Duration::from_millis(self.random.u64(REFUSES_FROM_MS));
+        let until = at + Duration::from_millis(self.random.u64(REFUSES_FOR_MS));
+        if self.chance(0.8) {
+            self.add(at, target, Event::WatchesReset);
+        }
+        while at < until {
+            let after = REFUSES_AFTER_MS[self.random.usize(..REFUSES_AFTER_MS.len())];
+            let after = Duration::from_millis(after);
+            self.add(at, target, Event::DirectoryRefuses(Some(after)));
+            at += Duration::from_millis(self.random.u64(2_000..12_000));
+            self.add(at.min(until), target, Event::DirectoryRefuses(None));
+            at += Duration::from_millis(self.random.u64(20..600));
+            if self.chance(0.5) {
+                self.add(at.min(until), target, Event::WatchesReset);
+            }
+        }
+    }
+
+    /// Drains, some of which are undone.
+    fn drains(&mut self, endpoints: usize) {
+        for endpoint in 0..endpoints {
+            if !self.chance(0.3) {
+                continue;
+            }
+            let at = self.moment() / 2;
+            let target = Target::Endpoint(endpoint);
+            self.add(at, target, Event::Drains(true));
+            if self.chance(0.3) {
+                let undone = at + Duration::from_millis(self.random.u64(100..8_000));
+                self.add(undone, target, Event::Drains(false));
+            }
+        }
+    }
+
+    fn moves(&mut self, processes: usize) {
+        for process in 0..processes {
+            for _ in 0..self.random.usize(..3) {
+                let at = self.moment();
+                let times = self.random.u8(1..4);
+                let event = Event::DirectoryMoves { times };
+                self.add(at, Target::Process(process), event);
+            }
+        }
+    }
+
     fn fault(&mut self) -> Fault {
         let none = Fault::default();
         match self.random.u8(..4) {
