Hold only a poll's answer to the revision of the held list, not late changes

Cause: since the check of older answers a change that comes late on a watch that is up to date ended that watch, too; platform_only::older_news_undoes_nothing failed, unchanged, and passes again.

--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -135,10 +135,13 @@
                 Said::NoChange => no_change = true,
                 Said::Object(object) => {
                     let update = list::read(&object).map_err(spoilt)?;
-                    self.check_revision(&update)?;
+                    let is_answer = !answered && !any;
+                    if is_answer {
+                        self.check_revision(&update)?;
+                    }
                     self.driver.apply_list_update(&update);
                     // It may be no newer than what is held, which is an answer too.
-                    no_change |= !answered && !any;
+                    no_change |= is_answer;
                 }
             }
             any = true;
@@ -149,7 +152,7 @@
         Ok(any)
     }
 
-    /// A directory that is behind the held list knows nothing of what has changed since, and its
+    /// Checks the answer to a poll. A directory that is behind the held list knows nothing of what has changed since, and its
     /// watch tells nothing of it.
     fn check_revision(&self, update: &EndpointListUpdate) -> io::Result<()> {
         let revision = update.revision;
