Let changes count after six seconds also where settings set no time for polling

What callers would see: new work at drained endpoints without end, where rules.mustAskIn is absent and the directory fails. Change: a poller on sockets (whose watch has a heartbeat) has that bound in any case; simulated ones have no such clock, as before. One assertion of a_machine_that_stood_still had it unbound and asserts the bound now.

--- a/src/dispatch/list_polling.rs
+++ b/src/dispatch/list_polling.rs
@@ -212,8 +212,10 @@
     /// The poller of a sender that starts at `now`. `draw` gives a number evenly from 0 to 1.
     pub fn new(now: Nanos, settings: &Settings, draw: impl FnOnce() -> f64) -> Self {
         let restart = settings.restart_state;
-        // The clock for silence runs also where the settings need no time for polling.
-        let deadline = if settings.list_pushed && settings.poll_deadline == 0 {
+        // On sockets, where a watch has a heartbeat, changes count also where the settings need no
+        // time for polling.
+        let counts_anyway = settings.list_pushed || settings.watch_heartbeat > 0;
+        let deadline = if counts_anyway && settings.poll_deadline == 0 {
             CHANGE_COUNTS_AFTER
         } else {
             settings.poll_deadline
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -438,9 +438,15 @@
         early.begin_due_poll(5 * SEC) && early.is_stale(6 * SEC),
         "poller in time is no word"
     );
+    let unbound = start(0, 300, 0, || 1.0);
     assert!(
-        !start(0, 300, 0, || 1.0).is_stale(900 * SEC),
-        "no bound is set"
+        !unbound.is_stale(6 * SEC - 1) && unbound.is_stale(6 * SEC),
+        "changes count whether or not the settings set a bound"
+    );
+    let simulated = EndpointListPoller::new(0, &Settings::default(), || 1.0);
+    assert!(
+        !simulated.is_stale(900 * SEC),
+        "a watch that tells changes alone has no such clock"
     );
 }
 
