--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -730,7 +730,7 @@
 
 #[test]
 fn an_evacuation_does_not_refresh_the_list_or_answer_a_poll() {
-    let of = |event: Event| {
+    let of = |is_answered: bool, event: Event| {
         let mut driver = Driver::new(
             Settings {
                 poll_list: true,
@@ -739,13 +739,21 @@
             },
             vec![common::ready(1, 1)],
         );
-        driver.pass(5 * SEC);
+        driver.pass(100 * MS);
+        if is_answered {
+            driver.give(Event::ListChanges(Vec::new()));
+        }
+        driver.pass(4 * SEC + 900 * MS);
         driver.give(event);
         driver.pass(5 * SEC + 500 * MS);
         driver.dispatcher.is_list_stale(driver.now)
     };
-    assert!(of(Event::ListOverrides(vec![common::ready(1, 1)])));
-    assert!(!of(Event::ListChanges(vec![common::ready(1, 1)])));
+    let changes = || Event::ListChanges(vec![common::ready(1, 1)]);
+    let overrides = || Event::ListOverrides(vec![common::ready(1, 1)]);
+    assert!(of(false, overrides()), "it answers no poll");
+    assert!(of(true, overrides()), "nor is it an event of the watch");
+    assert!(!of(true, changes()), "which a change is");
+    assert!(of(false, changes()), "an answer counts from the poll on");
 }
 
 #[test]
