--- a/src/dispatch/list_polling.rs
+++ b/src/dispatch/list_polling.rs
@@ -48,8 +48,8 @@
 /// How many times longer a list counts as true after a poll that failed than after none, by the
 /// settings' page.
 const DEADLINES_AFTER_FAILURE: Nanos = 4;
-/// Changes count as told so long after a move of the directory at the latest, by the operators' page
-/// on new configurations; polling does not change that.
+/// Changes count as told so long after a move of the directory at the latest, by the operators'
+/// page on new configurations; polling does not change that.
 const FRESH_AFTER_MOVE: Nanos = 4 * SEC;
 /// A watch that has a heartbeat tells within so many beats, whatever the settings say: the one that
 /// is silent for longer is given up.
