--- a/src/delivery/driver/mod.rs
+++ b/src/delivery/driver/mod.rs
@@ -103,20 +103,18 @@
 
     /// Logs when the endpoint list becomes stale, and when it is fresh again.
     fn log_list_transition(&mut self, now: Nanos) {
+        if self.dispatcher.is_list_stale(now) == self.list_stale_since.is_some() {
+            return;
+        }
         let Some(status) = self.dispatcher.list_status(now) else {
             return;
         };
-        match self.list_stale_since {
-            None if status.is_stale => {
-                log::info!("list: no new attempts: {status}");
-                self.list_stale_since = Some(Instant::now());
-            }
-            Some(since) if !status.is_stale => {
-                let stale_ms = since.elapsed().as_millis();
-                log::info!("list: attempts again after stale_ms={stale_ms}: {status}");
-                self.list_stale_since = None;
-            }
-            _ => {}
+        if let Some(since) = self.list_stale_since.take() {
+            let stale_ms = since.elapsed().as_millis();
+            log::info!("list: attempts again after stale_ms={stale_ms}: {status}");
+        } else {
+            log::info!("list: no new attempts: {status}");
+            self.list_stale_since = Some(Instant::now());
         }
     }
 
@@ -330,14 +328,6 @@
         self.state.borrow().dispatcher.list_status(self.now())
     }
 
-    /// How long the endpoint list may still be relied on, if nothing is heard; nothing where it is
-    /// not polled for.
-    pub fn remaining_list_freshness(&self) -> Option<Duration> {
-        let state = self.state.borrow();
-        let remaining = state.dispatcher.list_remaining_freshness(self.now());
-        remaining.map(duration)
-    }
-
     /// Ends where the endpoint list has changed, or may have.
     pub fn list_changed(&self) -> event_listener::EventListener {
         self.list_changed.listen()
--- a/src/dispatch/dispatcher/mod.rs
+++ b/src/dispatch/dispatcher/mod.rs
@@ -207,12 +207,6 @@
         self.poller.as_ref().map(|poller| poller.status(now))
     }
 
-    /// How long the list may still be trusted, if nothing is heard; nothing where it is not polled.
-    pub fn list_remaining_freshness(&self, now: Nanos) -> Option<Nanos> {
-        let poller = self.poller.as_ref();
-        poller.map(|poller| poller.remaining_freshness(now))
-    }
-
     /// Entries of the tables that grow with use, by the names that the sender's log gives them.
     pub fn table_sizes(&self) -> [(&'static str, usize); 5] {
         let queues = self.destinations.values();
--- a/src/dispatch/list_polling.rs
+++ b/src/dispatch/list_polling.rs
@@ -363,12 +363,10 @@
             self.stale_after_deadlines(started, DEADLINES_AFTER_FAILURE);
         }
         self.may_have_missed_change |= failure != PollFailure::Unclear;
-        if self.seems_down() {
-            let until = started + CHANGE_COUNTS_AFTER;
-            if until > self.fresh_until {
-                self.fresh_until = until;
-                self.freshness_basis = FreshnessBasis::SeemingOutage;
-            }
+        let outage_until = started + CHANGE_COUNTS_AFTER;
+        if self.seems_down() && outage_until > self.fresh_until {
+            self.fresh_until = outage_until;
+            self.freshness_basis = FreshnessBasis::SeemingOutage;
         }
         let next = match failure {
             PollFailure::Unanswered => {
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -4,6 +4,7 @@
 use super::http::{self, Body, Chunks};
 use super::list::{self, Objects, Said};
 use crate::delivery::driver::DispatcherDriver;
+use crate::delivery::duration;
 use crate::delivery::endpoint::EndpointListUpdate;
 use crate::delivery::endpoint_directory::EndpointDirectory;
 use crate::delivery::journal::persistent_clock::PersistentClock;
@@ -152,8 +153,8 @@
         Ok(any)
     }
 
-    /// Checks the answer to a poll. A directory that is behind the held list knows nothing of what has changed since, and its
-    /// watch tells nothing of it.
+    /// Checks the answer to a poll. A directory that is behind the held list knows nothing of what
+    /// has changed since, and its watch tells nothing of it.
     fn check_revision(&self, update: &EndpointListUpdate) -> io::Result<()> {
         let revision = update.revision;
         match self.directory.newest_revision() {
@@ -167,9 +168,10 @@
 
     /// Notes for the next process how long the list that it begins with may be trusted.
     fn note_trust(&self) {
-        let Some(trusted_for) = self.driver.remaining_list_freshness() else {
+        let Some(status) = self.driver.endpoint_list_status() else {
             return;
         };
+        let trusted_for = duration(status.remaining);
         let now_unix_ms = self.clock.now_unix_ms();
         let noted = self.note_revision(now_unix_ms).and_then(|()| {
             restart_state::note_list_freshness(&self.state, now_unix_ms, trusted_for)
