Copy each listed entry once, and read the noted revision where it counts

Need: each entry of each update was copied twice since drains outlive an older list; and the restart notes judged the list's freshness in two steps. Change: apply_entry takes the condition; the noted revision is read by remaining_freshness (two torn notes are told as one fault now). Comments wrapped.

--- a/src/delivery/endpoint_directory/mod.rs
+++ b/src/delivery/endpoint_directory/mod.rs
@@ -137,12 +137,13 @@
             .extend(update.entries.iter().map(|e| e.dest));
         let mut listings = Vec::with_capacity(update.entries.len());
         for entry in &update.entries {
-            let mut entry = entry.clone();
             // A new source may be behind the one before, which has told that this endpoint drains.
-            if is_behind && self.is_draining(&entry.uid) {
-                entry.condition = Condition::Draining;
-            }
-            listings.push(self.apply_entry(&entry, &mut disconnect));
+            let condition = if is_behind && self.is_draining(&entry.uid) {
+                Condition::Draining
+            } else {
+                entry.condition
+            };
+            listings.push(self.apply_entry(entry, condition, &mut disconnect));
         }
         self.warn_of_unroutable_destinations();
         self.override_conditions(&mut listings);
@@ -190,37 +191,46 @@
         endpoint.is_some_and(|e| e.entry.condition == Condition::Draining)
     }
 
-    /// Applies one entry. Adds to `disconnect` what is not to be connected to any more.
-    fn apply_entry(&self, entry: &EndpointEntry, disconnect: &mut Vec<Rc<Endpoint>>) -> Listing {
+    /// Applies one entry, in this condition. Adds to `disconnect` what is not to be connected to any
+    /// more.
+    fn apply_entry(
+        &self,
+        entry: &EndpointEntry,
+        condition: Condition,
+        disconnect: &mut Vec<Rc<Endpoint>>,
+    ) -> Listing {
         let handle = self.handle(&entry.uid);
         let endpoint = Rc::new(Endpoint {
             endpoint: handle,
             zone: self.zone_number(&entry.zone),
             kind: self.kind_number(&entry.kind),
-            entry: entry.clone(),
+            entry: EndpointEntry {
+                condition,
+                ..entry.clone()
+            },
         });
         let mut endpoints = self.endpoints.borrow_mut();
         let previous = endpoints.insert(handle, endpoint.clone());
         let previously = previous
             .as_ref()
             .map(|p| (p.entry.condition, p.entry.address));
-        if previously != Some((entry.condition, entry.address)) {
+        if previously != Some((condition, entry.address)) {
             log::debug!(
                 "directory: provider {} ({:?}) at {}, dest {}: {:?}",
                 entry.uid,
                 handle.addr,
                 entry.address,
                 entry.dest,
-                entry.condition
+                condition
             );
             disconnect.extend(previous.filter(|p| p.entry.address != entry.address));
         }
-        if entry.condition == Condition::Gone {
+        if condition == Condition::Gone {
             endpoints.remove(&handle);
             self.handles.borrow_mut().remove(&entry.uid);
         }
-        let listing = endpoint.listing(entry.condition, entry.rate);
-        if entry.condition != Condition::Ready {
+        let listing = endpoint.listing(condition, entry.rate);
+        if condition != Condition::Ready {
             disconnect.push(endpoint);
         }
         listing
--- a/src/delivery/journal/restart_state.rs
+++ b/src/delivery/journal/restart_state.rs
@@ -2,9 +2,9 @@
 //!
 //! Four notes, each a file of one line: that the process ended as it was told to, how long the
 //! endpoint directory took for its last poll, how long the endpoint list that it had may be
-//! trusted, and which revision that was. Without the first two, a start counts as one of all senders at once, beside a directory
-//! that nobody knows. Without the third there was no process before, and the list that this one is
-//! given is taken as it is.
+//! trusted, and which revision that was. Without the first two, a start counts as one of all
+//! senders at once, beside a directory that nobody knows. Without the third there was no process
+//! before, and the list that this one is given is taken as it is.
 //!
 //! `main` reads the notes at the start and writes the first one at the end; whoever polls the
 //! directory writes the others.
@@ -129,8 +129,7 @@
 }
 
 /// Reads what is known of the process before this one, by one that begins with this revision of the
-/// list. The note of a planned end counts once: a
-/// start that ends short leaves none.
+/// list. The note of a planned end counts once: a start that ends short leaves none.
 pub fn load(folder: &Path, now_unix_ms: u64, held_revision: Option<u64>) -> LoadedNotes {
     let mut faults = Vec::new();
     let mut read = |note: &NoteFile| {
@@ -141,20 +140,11 @@
     };
     let planned_end = read(&PLANNED_END);
     let poll_us = read(&LIST_POLL);
-    let remaining_freshness = remaining_freshness(folder, now_unix_ms).unwrap_or_else(|fault| {
+    let remaining_freshness = remaining_freshness(folder, now_unix_ms, held_revision);
+    let remaining_freshness = remaining_freshness.unwrap_or_else(|fault| {
         faults.push(fault);
         Some(0)
     });
-    let is_older =
-        is_older_than_noted(folder, now_unix_ms, held_revision).unwrap_or_else(|fault| {
-            faults.push(fault);
-            true
-        });
-    let remaining_freshness = if is_older {
-        Some(0)
-    } else {
-        remaining_freshness
-    };
     let removed = PLANNED_END.remove(folder);
     // One that stays would count again and again.
     let planned = planned_end.is_some() && removed.is_ok();
@@ -170,18 +160,17 @@
     LoadedNotes { state, faults }
 }
 
-/// Whether the process before relied on a newer list than this one begins with.
-fn is_older_than_noted(
+/// How long the list of the process before may still be trusted, by one that begins with this
+/// revision; none where there was none.
+fn remaining_freshness(
     folder: &Path,
     now_unix_ms: u64,
     held_revision: Option<u64>,
-) -> Result<bool, NoteError> {
+) -> Result<Option<Nanos>, NoteError> {
     let noted_revision = LIST_REVISION.read(folder, now_unix_ms)?;
-    Ok(noted_revision.is_some_and(|noted| held_revision.is_none_or(|held| held < noted)))
-}
-
-/// How long the list of the process before may still be trusted; none where there was none.
-fn remaining_freshness(folder: &Path, now_unix_ms: u64) -> Result<Option<Nanos>, NoteError> {
+    if noted_revision.is_some_and(|noted| held_revision.is_none_or(|held| held < noted)) {
+        return Ok(Some(0));
+    }
     let until_unix_ms = LIST_FRESHNESS.read(folder, now_unix_ms)?;
     Ok(until_unix_ms.map(|until| {
         let left = Duration::from_millis(until.saturating_sub(now_unix_ms));
