Let soak and schedules move a directory's line by one piece of code

Need: the soak wrote the scenarios' move again, and the record kept two like tables by two like functions. Change: Sender::move_line and note_unwanted serve both.

--- a/test-harness/src/record.rs
+++ b/test-harness/src/record.rs
@@ -591,26 +591,12 @@
 
     /// An endpoint wants calls, or wants none any more.
     pub fn wants(&self, uid: &str, wants: bool) {
-        let mut seen = self.seen();
-        if wants {
-            seen.unwanted.remove(uid);
-        } else {
-            seen.unwanted
-                .entry(uid.to_string())
-                .or_insert_with(Instant::now);
-        }
+        note_unwanted(&mut self.seen().unwanted, uid, wants);
     }
 
     /// A directory that can be reached lists an endpoint as one that wants calls, or none.
     pub fn lists(&self, uid: &str, wants: bool) {
-        let mut seen = self.seen();
-        if wants {
-            seen.listed_drains.remove(uid);
-        } else {
-            seen.listed_drains
-                .entry(uid.to_string())
-                .or_insert_with(Instant::now);
-        }
+        note_unwanted(&mut self.seen().listed_drains, uid, wants);
     }
 
     /// A sender starts with the list that it is given. What its last process was told, it is not.
@@ -765,6 +751,15 @@
     }
 }
 
+/// Notes since when an endpoint wants no calls, or that it does want some.
+fn note_unwanted(unwanted: &mut BTreeMap<String, Instant>, uid: &str, wants: bool) {
+    if wants {
+        unwanted.remove(uid);
+    } else {
+        unwanted.entry(uid.to_string()).or_insert_with(Instant::now);
+    }
+}
+
 /// The epoch of an order and the destinations that a sender names with it.
 fn order(what: &str) -> (Option<u64>, BTreeSet<usize>) {
     let Some((_, rest)) = what.split_once(" by epoch ") else {
--- a/test-harness/src/scenario/play.rs
+++ b/test-harness/src/scenario/play.rs
@@ -410,15 +410,6 @@
             .collect()
     }
 
-    /// The directory of a sender's site.
-    fn directory(&self, sender: usize) -> &Directory {
-        let site = self.scenario.site_of(sender);
-        self.stage
-            .directories()
-            .nth(site)
-            .unwrap_or(&self.stage.directory)
-    }
-
     fn directories(&self, does: impl Fn(&Directory)) {
         self.stage.directories().for_each(does);
     }
@@ -517,14 +508,8 @@
             }
             Deed::Move => {
                 for &n in which {
-                    let line = Relay::start(self.directory(n).address)?;
-                    self.directory(n)
-                        .names(line.address.port(), &self.senders[n].name);
-                    self.senders[n].move_directory(line.address)?;
-                    std::mem::replace(&mut self.lines[n], line).set(Fault {
-                        cut: true,
-                        ..Fault::default()
-                    });
+                    let directory = self.stage.directory_of(self.scenario.site_of(n));
+                    self.senders[n].move_line(directory, &mut self.lines[n])?;
                 }
                 // It is told to all as nearly at once as can be.
                 which.iter().for_each(|&n| self.senders[n].hang_up());
--- a/test-harness/src/sender.rs
+++ b/test-harness/src/sender.rs
@@ -1,6 +1,8 @@
 //! One process of the program, with its folder, started again as the platform does.
 
+use crate::directory::Directory;
 use crate::record::Record;
+use crate::relay::{Fault, Relay};
 use crate::syscall_faults::SyscallFaults;
 use crate::Http;
 use rustix::process::{kill_process, Pid, Signal};
@@ -275,6 +277,22 @@
         self.configure()
     }
 
+    /// Writes into its configuration that the directory is at the end of a new line, and cuts the
+    /// old one.
+    ///
+    /// # Errors
+    /// No port is to be had, or the file cannot be written.
+    pub(crate) fn move_line(&mut self, directory: &Directory, line: &mut Relay) -> io::Result<()> {
+        let new = Relay::start(directory.address)?;
+        directory.names(new.address.port(), &self.name);
+        self.move_directory(new.address)?;
+        std::mem::replace(line, new).set(Fault {
+            cut: true,
+            ..Fault::default()
+        });
+        Ok(())
+    }
+
     /// Tells it to read its configuration again.
     pub fn hang_up(&self) {
         self.signal(Signal::HUP);
--- a/test-harness/src/soak.rs
+++ b/test-harness/src/soak.rs
@@ -230,7 +230,8 @@
             }
             Event::DirectoryMoves { times } if !self.is_restarting() => {
                 for _ in 0..*times {
-                    self.move_directory(stage)?;
+                    self.sender.move_line(&stage.directory, &mut self.line)?;
+                    self.sender.hang_up();
                     thread::sleep(BETWEEN_MOVES);
                 }
             }
@@ -248,22 +249,6 @@
     }
 }
 
-impl Process {
-    /// Tells it that the directory is at another address.
-    fn move_directory(&mut self, stage: &Stage) -> Result<(), NotPlayed> {
-        let line = Relay::start(stage.directory.address)?;
-        let port = line.address.port();
-        stage.directory.names(port, &self.sender.name);
-        self.sender.move_directory(line.address)?;
-        std::mem::replace(&mut self.line, line).set(Fault {
-            cut: true,
-            ..Fault::default()
-        });
-        self.sender.hang_up();
-        Ok(())
-    }
-}
-
 /// Plays it.
 ///
 /// # Errors
--- a/test-harness/src/stage.rs
+++ b/test-harness/src/stage.rs
@@ -149,6 +149,11 @@
         std::iter::once(&self.directory).chain(&self.others)
     }
 
+    /// The directory of a site.
+    pub fn directory_of(&self, site: usize) -> &Directory {
+        self.directories().nth(site).unwrap_or(&self.directory)
+    }
+
     /// The sender `n0`, `n1` or so on, which finds the directory at an address; it is not started
     /// yet.
     pub fn sender(&self, told: &Told, n: usize, directory: SocketAddr) -> Result<Sender, NoSender> {
