Read every frame that checks out, whatever a header that failed in part says

Cause: a segment's header stands twice and is written by one call. Where that ended after the first copy (a short write, then EIO or ENOSPC), the log took the segment for not begun, went on in the one before it and gave the number to another file. Recovery takes either copy, so the header counted: the segment before was read only up to the end that it tells, or a number stood twice.

Change: what a failed write may have left is erased at once (a header's kilobyte; a terminator over a frame). A write that succeeds is as before.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -368,6 +368,9 @@
     for damage in &seen.damage {
         writeln!(out, "damaged: {damage}")?;
     }
+    for anomaly in &seen.anomalies {
+        writeln!(out, "left by a write that failed in part: {anomaly}")?;
+    }
     if seen.torn_bytes > 0 {
         writeln!(
             out,
--- a/src/delivery/journal/inspect.rs
+++ b/src/delivery/journal/inspect.rs
@@ -118,6 +118,9 @@
     pub garbage_fraction: f64,
     /// What cannot be read.
     pub damage: Vec<String>,
+    /// What writes that failed in part have left, and was read all the same.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub anomalies: Vec<String>,
     /// Bytes at the end that hold part of a frame.
     #[serde(rename = "torn")]
     pub torn_bytes: u64,
@@ -182,6 +185,11 @@
             .map(|(item, record)| summarize_message(item, record, &wall_clock))
             .collect(),
         damage,
+        anomalies: recovered
+            .anomalies
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
         torn_bytes: recovered.torn_bytes,
         messages_in_doubt: replay.in_doubt(),
         took_ms: begun.elapsed().as_millis() as u64,
--- a/src/delivery/journal/inspect/tests.rs
+++ b/src/delivery/journal/inspect/tests.rs
@@ -41,6 +41,7 @@
         }],
         garbage_fraction: 0.5,
         damage: Vec::new(),
+        anomalies: Vec::new(),
         torn_bytes: 18,
         messages_in_doubt: 19,
         took_ms: 20,
--- a/src/store/faulty.rs
+++ b/src/store/faulty.rs
@@ -22,6 +22,8 @@
     Io,
     /// A write writes only its first half, and says so.
     Short,
+    /// A write leaves so many bytes, and then the device fails.
+    Cut(usize),
     /// The process ends before the operation; nothing works from then on.
     Kill,
     /// The process ends in the middle of the operation: a write leaves so many sixteenths of its
@@ -226,6 +228,7 @@
         let fault = state.begin_operation()?;
         let len = match fault {
             Some(Fault::Short) => bytes.len().div_ceil(2),
+            Some(Fault::Cut(len)) => bytes.len().min(len),
             Some(Fault::Torn(sixteenths)) => bytes.len() * usize::from(sixteenths.min(16)) / 16,
             _ => bytes.len(),
         };
@@ -244,6 +247,7 @@
         });
         match fault {
             Some(Fault::Torn(_)) => Err(killed()),
+            Some(Fault::Cut(_)) => Err(io::Error::from_raw_os_error(EIO)),
             _ => Ok(len),
         }
     }
--- a/src/store/frame.rs
+++ b/src/store/frame.rs
@@ -23,6 +23,8 @@
 /// Behind the last frame stand so many zeros, so that an end can be told from what an earlier use
 /// left there.
 const TERMINATOR_LEN: usize = 8;
+/// What stands behind the last frame.
+pub const TERMINATOR: [u8; TERMINATOR_LEN] = [0; TERMINATOR_LEN];
 
 /// What a segment says of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -66,18 +68,29 @@
         bytes
     }
 
-    /// Reads a header from a segment's first [`FRAMES_OFFSET`] bytes.
+    /// Reads a header from a segment's first [`FRAMES_OFFSET`] bytes. Of copies that differ, the
+    /// later one counts.
     pub fn decode(bytes: &[u8]) -> SegmentStart {
-        let copy_at = |offset: usize| bytes.get(offset..offset + HEADER_LEN);
-        let copies = [0, SECOND_HEADER_OFFSET].map(|at| copy_at(at).and_then(Self::decode_copy));
-        match copies {
-            [Some(first), _] => SegmentStart::Header(first),
-            [None, Some(second)] => SegmentStart::Header(second),
-            [None, None] if bytes.iter().all(|b| *b == 0) => SegmentStart::Empty,
-            [None, None] => SegmentStart::Unreadable,
+        let copies = Self::decode_copies(bytes);
+        match copies.into_iter().flatten().max_by_key(|h| h.sequence) {
+            Some(header) => SegmentStart::Header(header),
+            None if bytes.iter().all(|b| *b == 0) => SegmentStart::Empty,
+            None => SegmentStart::Unreadable,
         }
     }
 
+    /// Whether both copies of a header say the same. Where they do not, its writing was cut, or one
+    /// of them is damaged.
+    pub fn copies_agree(bytes: &[u8]) -> bool {
+        let [first, second] = Self::decode_copies(bytes);
+        first == second
+    }
+
+    fn decode_copies(bytes: &[u8]) -> [Option<Self>; 2] {
+        let copy_at = |offset: usize| bytes.get(offset..offset + HEADER_LEN);
+        [0, SECOND_HEADER_OFFSET].map(|at| copy_at(at).and_then(Self::decode_copy))
+    }
+
     fn decode_copy(bytes: &[u8]) -> Option<Self> {
         let (content, checksum) = bytes.split_at_checked(HEADER_LEN - CHECKSUM_LEN)?;
         let numbers = content.strip_prefix(MAGIC)?;
--- a/src/store/log/append.rs
+++ b/src/store/log/append.rs
@@ -3,7 +3,7 @@
 use super::{Segment, SegmentLog, SnapshotSource, SpareFile};
 use crate::store::capacity::CLEANER_RESERVE;
 use crate::store::disk::{write_full, DiskFile};
-use crate::store::frame::{self, FrameKind, SegmentHeader, FRAMES_OFFSET};
+use crate::store::frame::{self, FrameKind, SegmentHeader, FRAMES_OFFSET, TERMINATOR};
 use crate::store::recover::{segment_file_name, FrameLocation};
 use std::io;
 use std::sync::Arc;
@@ -126,10 +126,15 @@
         if let Err(e) = write_full(&*file, &bytes, segment.end) {
             self.statistics.failed_writes += 1;
             segment.sealed = true;
+            let slot = segment.slot;
+            let offset = segment.end;
+            // A whole frame has more bytes than a terminator.
+            self.erase_failed_write(slot, file, offset, &TERMINATOR);
             return Err(e);
         }
         let location = FrameLocation {
             sequence: segment.sequence,
+            slot: segment.slot,
             offset: segment.end,
             data_len: data.len(),
         };
@@ -141,6 +146,24 @@
         Ok(location)
     }
 
+    /// Erases what a write that failed may have left, so that no later process takes it for one
+    /// that succeeded.
+    fn erase_failed_write(
+        &mut self,
+        slot: u32,
+        file: Arc<dyn DiskFile>,
+        offset: u64,
+        zeros: &[u8],
+    ) {
+        if let Err(e) = write_full(&*file, zeros, offset) {
+            self.statistics.failed_writes += 1;
+            let name = segment_file_name(slot);
+            log::debug!("store: {name}: what failed at {offset} is not erased: {e}");
+        }
+        // What was written and what erased it are synced together.
+        self.mark_dirty(slot, file);
+    }
+
     /// Whether the segment being written has room for so many bytes more.
     fn tail_fits(&self, len: u64) -> bool {
         self.segments
@@ -192,6 +215,7 @@
         let header = self.next_header();
         if let Err(e) = write_full(&*file, &header.encode(), 0) {
             self.statistics.failed_writes += 1;
+            self.erase_failed_write(spare.slot, file, 0, &[0; FRAMES_OFFSET as usize]);
             // Another file may do better.
             self.spares.insert(
                 0,
--- a/src/store/log/mod.rs
+++ b/src/store/log/mod.rs
@@ -10,7 +10,8 @@
 //! 1. Cleaning copies all that lives in the oldest segment before a `LogStart` says that it counts
 //!    no more; where syncs are required, only once the copies are synced.
 //! 2. A file is used again only after that, and then only once it is synced.
-//! 3. A write that fails changes nothing that was believed before.
+//! 3. A write that fails changes nothing that was believed before. What it left on disk is erased,
+//!    and counts for nothing if it cannot be: recovery reads all frames, whatever a header says.
 //!
 //! The parts: `append` writes frames and begins segments, `cleaner` copies and retires, `files`
 //! holds free files, `durability` syncs, `index` knows where items stand, `open` recovers.
@@ -286,11 +287,15 @@
     /// Reads an item's data; none where it stands in no segment.
     pub fn reader(&self, item: u64) -> Option<ItemReader> {
         let location = self.index.location(item)?;
-        let at = self
+        let first = self
             .segments
-            .binary_search_by_key(&location.sequence, |s| s.sequence)
-            .ok()?;
-        let segment = &self.segments[at];
+            .partition_point(|s| s.sequence < location.sequence);
+        // An earlier version may have given a number to two files.
+        let segment = self
+            .segments
+            .range(first..)
+            .take_while(|s| s.sequence == location.sequence)
+            .find(|s| s.slot == location.slot)?;
         Some(ItemReader {
             disk: self.disk.clone(),
             file_name: segment_file_name(segment.slot),
--- a/src/store/log/open.rs
+++ b/src/store/log/open.rs
@@ -66,6 +66,9 @@
             None => FIRST_SEQUENCE,
         };
         let recovered = recover::scan(&*disk, first_sequence, replay)?;
+        for anomaly in &recovered.anomalies {
+            log::warn!("store: left by a write that failed in part: {anomaly}");
+        }
         let mut log = SegmentLog::without_files(disk, options, &recovered);
         log.adopt_segments(&recovered.segments)?;
         for file in &recovered.free_files {
@@ -161,6 +164,7 @@
             }
             let location = FrameLocation {
                 sequence: LEGACY_SEQUENCE,
+                slot: 0,
                 offset: 0,
                 data_len: 0,
             };
--- a/src/store/recover/mod.rs
+++ b/src/store/recover/mod.rs
@@ -8,11 +8,14 @@
 //! told of; damage is stepped over, so that it hides nothing behind it, and the replay learns that
 //! frames may be missing there.
 
+mod anomaly;
 mod damage;
+mod headers;
 mod segment;
 
-use super::disk::{read_full, Disk};
-use super::frame::{SegmentHeader, SegmentStart, FRAMES_OFFSET};
+use super::disk::Disk;
+use super::frame::SegmentHeader;
+pub use anomaly::Anomaly;
 pub use damage::Damage;
 use std::collections::HashMap;
 use std::io;
@@ -70,6 +73,8 @@
     pub size_bytes: u64,
     /// Its header.
     pub header: SegmentHeader,
+    /// Both copies of the header say the same.
+    pub copies_agree: bool,
     /// Offset at which frames end.
     pub end: u64,
     /// Frames that are whole.
@@ -90,6 +95,8 @@
 pub struct FrameLocation {
     /// The segment.
     pub sequence: u64,
+    /// Number in the name of the segment's file.
+    pub slot: u32,
     /// Where its frame begins.
     pub offset: u64,
     /// Bytes of data.
@@ -111,6 +118,8 @@
     pub next_item: u64,
     /// What cannot be read.
     pub damage: Vec<Damage>,
+    /// What writes that failed in part have left, and was read all the same.
+    pub anomalies: Vec<Anomaly>,
     /// Bytes at the end of the newest segment that hold part of a frame.
     pub torn_bytes: u64,
     /// Bytes read.
@@ -152,6 +161,8 @@
     };
     let unreadable = scanner.read_headers()?;
     scanner.free_retired_segments();
+    scanner.report_differing_copies();
+    scanner.free_repeated_segments()?;
     scanner.report_unreadable(unreadable);
     scanner.read_segments()?;
     scanner.settle_possible_losses();
@@ -180,45 +191,6 @@
 }
 
 impl Scanner<'_> {
-    /// Sorts files into segments and free ones, and takes from the newest header where the log
-    /// begins. Gives the files that cannot be read.
-    fn read_headers(&mut self) -> io::Result<Vec<FreeFile>> {
-        let mut files: Vec<_> = self
-            .disk
-            .list()?
-            .into_iter()
-            .filter_map(|(name, size_bytes)| Some((slot_of(&name)?, name, size_bytes)))
-            .collect();
-        files.sort();
-        let mut unreadable = Vec::new();
-        for (slot, name, size_bytes) in files {
-            match self.read_header(&name, size_bytes)? {
-                SegmentStart::Header(header) => self.log.segments.push(RecoveredSegment {
-                    slot,
-                    size_bytes,
-                    header,
-                    end: FRAMES_OFFSET,
-                    frames: 0,
-                }),
-                SegmentStart::Empty => self.log.free_files.push(FreeFile { slot, size_bytes }),
-                SegmentStart::Unreadable => unreadable.push(FreeFile { slot, size_bytes }),
-            }
-        }
-        self.log.segments.sort_by_key(|s| s.header.sequence);
-        if let Some(newest) = self.log.segments.last() {
-            self.log.oldest_sequence = self.log.oldest_sequence.max(newest.header.oldest_sequence);
-            self.log.next_item = newest.header.next_item;
-        }
-        Ok(unreadable)
-    }
-
-    fn read_header(&self, name: &str, size_bytes: u64) -> io::Result<SegmentStart> {
-        let file = self.disk.open(name)?;
-        let mut bytes = vec![0; FRAMES_OFFSET.min(size_bytes) as usize];
-        read_full(&*file, &mut bytes, 0)?;
-        Ok(SegmentHeader::decode(&bytes))
-    }
-
     /// A file that lost its header is free; what is missing is seen by the gap in the sequence.
     fn report_unreadable(&mut self, unreadable: Vec<FreeFile>) {
         for file in unreadable {
@@ -267,15 +239,20 @@
                 );
             }
             expected = header.sequence + 1;
-            let next = self.log.segments.get(index + 1).map(|s| s.header);
-            let known_end = next
-                .filter(|next| next.sequence == expected)
-                .map(|next| next.previous_end);
+            let known_end = self.known_end(index);
             self.read_segment(index, known_end, &mut buffer)?;
         }
         Ok(())
     }
 
+    /// Where frames stand in a segment for certain, as the next segment's header says. Where that
+    /// header failed, others may follow.
+    fn known_end(&self, index: usize) -> Option<u64> {
+        let sequence = self.log.segments[index].header.sequence;
+        let next = self.log.segments.get(index + 1)?.header;
+        (next.sequence == sequence + 1).then_some(next.previous_end)
+    }
+
     fn report_possible_loss(&mut self, at: LogPosition, only_if_durable: bool, damage: Damage) {
         self.replay.on_possible_loss();
         self.possible_losses.push(PossibleLoss {
--- a/src/store/recover/segment.rs
+++ b/src/store/recover/segment.rs
@@ -1,6 +1,6 @@
 //! Reads one segment, frame by frame.
 
-use super::{segment_file_name, Damage, FrameLocation, LogPosition, Scanner};
+use super::{segment_file_name, Anomaly, Damage, FrameLocation, LogPosition, Scanner};
 use crate::store::disk::read_full;
 use crate::store::frame::{self, Frame, FrameKind, FRAMES_OFFSET};
 use std::io;
@@ -8,17 +8,29 @@
 /// The segment that is being read.
 struct CurrentSegment {
     file: String,
+    slot: u32,
     sequence: u64,
     salt: u64,
     /// Its header says that frames tell what was synced.
     has_durable_marks: bool,
     /// Nothing was written behind it.
     is_newest: bool,
-    /// Where frames end, where the next segment's header says so.
+    /// Frames stand up to here at least, where the next segment's header says so.
     known_end: Option<u64>,
     size_bytes: u64,
 }
 
+impl CurrentSegment {
+    /// Where reading goes on behind bytes that cannot be read: at the next frame, or at the least
+    /// end, behind which others may follow.
+    fn next_offset(&self, bytes: &[u8], unreadable_from: usize) -> Option<usize> {
+        let known_end = self.known_end.map(|end| end as usize);
+        let searched_end = known_end.unwrap_or(bytes.len()).min(bytes.len());
+        let searched = &bytes[..searched_end];
+        frame::find_next(self.salt, searched, unreadable_from + 1).or(known_end)
+    }
+}
+
 impl Scanner<'_> {
     /// Replays one segment; `buffer` is used for one after another.
     pub(super) fn read_segment(
@@ -30,6 +42,7 @@
         let segment = &self.log.segments[index];
         let current = CurrentSegment {
             file: segment_file_name(segment.slot),
+            slot: segment.slot,
             sequence: segment.header.sequence,
             salt: segment.header.salt,
             has_durable_marks: segment.header.has_durable_marks,
@@ -39,21 +52,21 @@
         };
         self.read_file(&current, buffer)?;
         let (end, frames) = self.replay_frames(&current, buffer);
+        self.report_frames_behind_end(&current, end);
         let segment = &mut self.log.segments[index];
         segment.end = known_end.unwrap_or(end).max(end);
         segment.frames = frames;
         Ok(())
     }
 
-    /// Reads the file up to where frames end.
+    /// Reads the whole file.
     fn read_file(&mut self, current: &CurrentSegment, buffer: &mut Vec<u8>) -> io::Result<()> {
         buffer.resize(current.size_bytes as usize, 0);
         // One file at a time: there may be more of them than descriptors.
         let read = read_full(&*self.disk.open(&current.file)?, buffer, 0)?;
         self.log.read_bytes += read as u64;
-        // A file may have been cut short, too.
-        let end = current.known_end.unwrap_or(current.size_bytes);
-        buffer.truncate(read.min(end as usize));
+        // A file may have been cut short.
+        buffer.truncate(read);
         Ok(())
     }
 
@@ -77,7 +90,7 @@
             if is_end {
                 break;
             }
-            let Some(next) = frame::find_next(current.salt, bytes, offset + 1) else {
+            let Some(next) = current.next_offset(bytes, offset) else {
                 self.end_in_unreadable_bytes(current, offset as u64, rest);
                 break;
             };
@@ -89,11 +102,21 @@
 
     /// Nothing can be read from here on: a write that was cut, at the end of the log, or damage.
     fn end_in_unreadable_bytes(&mut self, current: &CurrentSegment, offset: u64, rest: &[u8]) {
-        if current.is_newest && current.known_end.is_none() {
+        if current.is_newest {
             self.log.torn_bytes = torn_bytes(rest);
         } else {
-            let end = current.known_end.unwrap_or(current.size_bytes);
-            self.report_unreadable_bytes(current, offset, end);
+            self.report_unreadable_bytes(current, offset, current.size_bytes);
+        }
+    }
+
+    fn report_frames_behind_end(&mut self, current: &CurrentSegment, end: u64) {
+        if let Some(known_end) = current.known_end.filter(|known_end| *known_end < end) {
+            self.log.anomalies.push(Anomaly::FramesBehindEnd {
+                file: current.file.clone(),
+                sequence: current.sequence,
+                from: known_end,
+                to: end,
+            });
         }
     }
 
@@ -146,6 +169,7 @@
             Ok(()) if frame.kind == FrameKind::Put => {
                 let location = FrameLocation {
                     sequence,
+                    slot: current.slot,
                     offset,
                     data_len: frame.data.len(),
                 };
