End an attempt that is given up only once its endpoint can have seen the close

Cause: the sender closed the connection and sent the next attempt 0.15 to 0.2 ms later over another one. Two connections have no order, so what lies between handed on the request before the close.

Evidence (trial on a scratch copy, with times in the sender and at the relays' near side): close at 21.788814 s, next request read at 21.788967, the close read at 21.789391; two further cases alike.

Change: where a call may still be out when its connection is closed, the attempt ends 20 ms later (chosen: twice the longest delay seen beside load), within the time that it had. The trait's contract said so already.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -22,6 +22,9 @@
 /// A connection rests this long before it is used again: bytes that belong to no call show up
 /// meanwhile.
 const SETTLE: Duration = Duration::from_millis(10);
+/// Between the close of a connection whose call is given up and the end of its attempt. The next
+/// attempt goes to another endpoint, and must not arrive before this one can see the close.
+const CLOSE_LEAD: Duration = Duration::from_millis(20);
 /// What a connection is kept for where the settings name no time.
 const IDLE_DEFAULT: Duration = Duration::from_secs(60);
 
@@ -203,6 +206,13 @@
         })
     }
 
+    /// Closes a connection whose call may still be out at its endpoint, and waits until the
+    /// endpoint can have seen that.
+    async fn give_up(&self, link: Link) {
+        drop(link);
+        self.wheel.sleep(CLOSE_LEAD).await;
+    }
+
     async fn exchange(&self, call: AttemptRequest<'_>) -> AttemptReport {
         let AttemptRequest {
             endpoint: provider,
@@ -211,7 +221,8 @@
             ends_at,
             authorize_send: go,
         } = call;
-        let (address, deadline) = (provider.entry.address, Instant::now() + timeout);
+        let address = provider.entry.address;
+        let deadline = (Instant::now() + timeout).min(ends_at - CLOSE_LEAD);
         let left = || deadline.saturating_duration_since(Instant::now());
         let mut link = match self.kept(provider.endpoint).await {
             Some(link) => link,
@@ -252,19 +263,23 @@
         for _ in 0..MAX_INTERIM {
             let begins = async { Ok(!link.stream.buf.is_empty() || link.stream.fill().await?) };
             match self.wheel.timeout(left(), begins).await {
-                None => return Outcome::Timeout.into(),
+                None => {
+                    self.give_up(link).await;
+                    return Outcome::Timeout.into();
+                }
                 Some(Ok(true)) => {}
                 Some(end @ (Ok(false) | Err::<_, io::Error>(_))) => {
                     log::debug!(
                         "calls: {} ended after the call was sent: {end:?}",
                         provider.entry.uid
                     );
+                    self.give_up(link).await;
                     return Outcome::Reset.into();
                 }
             }
             let rest = self.dialect.answer(&mut link.stream, &mut known);
             // Its message's last moments are not the endpoint's to take, however it dribbles.
-            let rest_time = ends_at.saturating_duration_since(Instant::now());
+            let rest_time = (ends_at - CLOSE_LEAD).saturating_duration_since(Instant::now());
             match self
                 .wheel
                 .timeout(REST_OF_ANSWER.min(rest_time), rest)
@@ -272,7 +287,8 @@
             {
                 Some(Ok(Read::Interim)) => continue,
                 Some(Ok(Read::Whole)) if link.stream.buf.is_empty() => {
-                    self.keep(provider.endpoint, link)
+                    self.keep(provider.endpoint, link);
+                    return known.unwrap_or(Outcome::Error.into());
                 }
                 Some(Ok(_)) => {}
                 spoilt => log::debug!(
@@ -282,6 +298,9 @@
             }
             break;
         }
+        if known.is_none() {
+            self.give_up(link).await;
+        }
         // Answered, if not to be read: the provider is there, and may have run it.
         known.unwrap_or(Outcome::Error.into())
     }
