--- a/test-harness/src/soak.rs
+++ b/test-harness/src/soak.rs
@@ -458,6 +458,19 @@
         outcome.delivered += usize::from(life.delivered > 0);
         outcome.notified += usize::from(!life.told.is_empty());
         let due = submission.sent_at + schedule.deadline;
+        if life.is_doubled() {
+            let since_sent = |at: Option<Instant>| at.map(|at| at - submission.sent_at);
+            find(format!(
+                "{id}: handed to n{process} with {:?} left, told {:?} first after {:?}, delivered {} first after {:?}, {} after a notice, {} zones too many",
+                schedule.deadline,
+                life.told,
+                since_sent(life.told_at),
+                life.delivered,
+                since_sent(life.delivered_at),
+                life.too_late,
+                life.ran_twice
+            ));
+        }
         if let Some(late) = lateness::late_by(due, life, restarts, lateness) {
             outcome.late += 1;
             find(format!(
