Replace a note of the state folder in one step, so that none is half old

A write that failed in part left the first half new and the second half old. The next process then relied on its list for up to 15.9 s where 6 s were noted, and could send to endpoints that had drained meanwhile.

All notes go through one function, which writes another file and renames it, as the note of the clock did by itself.

--- a/src/delivery/journal/mod.rs
+++ b/src/delivery/journal/mod.rs
@@ -36,6 +36,7 @@
 pub mod inspect;
 pub mod legacy_v1;
 mod maintenance;
+mod note_file;
 mod open;
 mod open_record;
 pub mod persistent_clock;
--- a/src/delivery/journal/persistent_clock.rs
+++ b/src/delivery/journal/persistent_clock.rs
@@ -10,16 +10,15 @@
 //! Without a usable note the wall clock counts, as of the start of the process: a step while the
 //! process lives changes nothing in any case.
 
+use super::note_file;
 use crate::delivery::unix_ms;
-use std::fs::{self, File};
-use std::io::{self, Write};
+use std::fs;
+use std::io;
 use std::path::Path;
 use std::time::Instant;
 
 /// The note's file.
 const FILE_NAME: &str = "clock";
-/// The note while it is written: what stands there is not whole.
-const UNFINISHED_FILE_NAME: &str = "clock.new";
 /// Where Linux says which boot this is.
 const BOOT_ID: &str = "/proc/sys/kernel/random/boot_id";
 /// A note that is so little apart from this clock, in milliseconds, stays as it is.
@@ -192,19 +191,11 @@
 /// Writes it whole or not at all, also where the process is killed meanwhile. The old one goes
 /// first: it is of no use, and must not be found by a process that may not write.
 fn write_note(folder: &Path, note: &ClockNote) -> io::Result<()> {
-    let (file, unfinished) = (folder.join(FILE_NAME), folder.join(UNFINISHED_FILE_NAME));
-    match fs::remove_file(&file) {
+    match fs::remove_file(folder.join(FILE_NAME)) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
         _ => {}
     }
-    let mut new = File::create(&unfinished)?;
-    let written = new.write_all(note.encode().as_bytes());
-    drop(new);
-    let renamed = written.and_then(|()| fs::rename(&unfinished, &file));
-    if renamed.is_err() {
-        let _ = fs::remove_file(&unfinished);
-    }
-    renamed
+    note_file::replace(folder, FILE_NAME, &note.encode())
 }
 
 #[cfg(test)]
--- a/src/delivery/journal/persistent_clock/tests.rs
+++ b/src/delivery/journal/persistent_clock/tests.rs
@@ -102,7 +102,7 @@
     );
     // Where nothing can be written, the old note must not stay either.
     fs::write(&file, &whole).expect("written");
-    fs::create_dir(folder.path().join(UNFINISHED_FILE_NAME)).expect("a folder");
+    fs::create_dir(folder.path().join("clock.new")).expect("a folder");
     let other_boot = readings(8_000_000, "8e", 600);
     assert_eq!(opened(&folder, 0, &other_boot), 8_000_000);
     assert!(!file.exists());
--- a/src/delivery/journal/restart_state.rs
+++ b/src/delivery/journal/restart_state.rs
@@ -9,9 +9,9 @@
 //! `main` reads the notes at the start and writes the first one at the end; whoever polls the
 //! directory writes the others.
 
+use super::note_file;
 use crate::dispatch::list_polling;
 use crate::{Nanos, RestartState};
-use std::io::Write;
 use std::path::Path;
 use std::time::Duration;
 use std::{fs, io};
@@ -86,7 +86,7 @@
 /// The folder cannot be written. The next start counts as one after a crash, and nothing else is
 /// harmed.
 pub fn note_planned_end(folder: &Path, now_unix_ms: u64) -> io::Result<()> {
-    fs::write(folder.join(PLANNED_END.name), format!("{now_unix_ms}\n"))
+    note_file::replace(folder, PLANNED_END.name, &format!("{now_unix_ms}\n"))
 }
 
 /// Notes how long the directory took for a poll.
@@ -95,15 +95,14 @@
 /// The folder cannot be written. The next start takes it for the usual time.
 pub fn note_list_poll(folder: &Path, now_unix_ms: u64, took: Duration) -> io::Result<()> {
     let line = format!("{now_unix_ms} {}\n", took.as_micros());
-    fs::write(folder.join(LIST_POLL.name), line)
+    note_file::replace(folder, LIST_POLL.name, &line)
 }
 
-/// Notes how long the list that is held may be trusted. Written over the note before, in as many
-/// bytes, so that a process killed at any moment leaves a whole one.
+/// Notes how long the list that is held may be trusted.
 ///
 /// # Errors
-/// The folder cannot be written. The next start may take its list for older than it is, and calls
-/// nobody until it has polled.
+/// The folder cannot be written, and the note before stays. The next start may take its list for
+/// older than it is, and calls nobody until it has polled.
 pub fn note_list_freshness(
     folder: &Path,
     now_unix_ms: u64,
@@ -111,12 +110,8 @@
 ) -> io::Result<()> {
     let trusted_for_ms = trusted_for.as_millis().try_into().unwrap_or(u64::MAX);
     let until_unix_ms = now_unix_ms.saturating_add(trusted_for_ms);
-    let mut note = fs::OpenOptions::new()
-        .create(true)
-        .write(true)
-        .truncate(false)
-        .open(folder.join(LIST_FRESHNESS.name))?;
-    note.write_all(format!("{now_unix_ms:020} {until_unix_ms:020}\n").as_bytes())
+    let line = format!("{now_unix_ms:020} {until_unix_ms:020}\n");
+    note_file::replace(folder, LIST_FRESHNESS.name, &line)
 }
 
 /// Notes of which revision of the list the freshness is noted from now on.
@@ -125,7 +120,7 @@
 /// The folder cannot be written. The next start may rely on an older list than this process does.
 pub fn note_list_revision(folder: &Path, now_unix_ms: u64, revision: u64) -> io::Result<()> {
     let line = format!("{now_unix_ms} {revision}\n");
-    fs::write(folder.join(LIST_REVISION.name), line)
+    note_file::replace(folder, LIST_REVISION.name, &line)
 }
 
 /// Reads what is known of the process before this one, by one that begins with this revision of the
--- /dev/null
+++ b/tests/torn_notes.rs
@@ -0,0 +1,48 @@
+//! A note beside the journal whose write fails in part. A program of its own, for the bound on its
+//! files.
+
+use async_signal::{Signal, Signals};
+use raildeal::delivery::journal::restart_state;
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+use std::path::Path;
+use std::time::Duration;
+use tempfile::TempDir;
+
+const SECOND_NS: u64 = 1_000_000_000;
+const FRESH_FOR: Duration = Duration::from_secs(6);
+
+fn set_largest_file(bytes: Option<u64>) {
+    let limit = Rlimit {
+        current: bytes,
+        maximum: getrlimit(Resource::Fsize).maximum,
+    };
+    setrlimit(Resource::Fsize, limit).expect("a bound");
+}
+
+fn remaining_ns(folder: &Path, now_unix_ms: u64) -> u64 {
+    let state = restart_state::load(folder, now_unix_ms, None).state;
+    state.remaining_freshness.expect("a process was before")
+}
+
+/// Guards against a list that is relied on for longer than any process noted, by a note of which
+/// the first half is new and the second half old.
+#[test]
+fn a_note_of_freshness_that_fails_in_part_never_adds_to_it() {
+    // Else the first write beyond the bound would end the program.
+    let _caught = Signals::new([Signal::Xfsz]).expect("signals");
+    let folder = TempDir::new().expect("a folder");
+    let noted_at = 1_796_307_503_999;
+    let later = noted_at + 101;
+    for largest in 0..42 {
+        restart_state::note_list_freshness(folder.path(), noted_at, FRESH_FOR).expect("written");
+        set_largest_file(Some(largest));
+        let noted = restart_state::note_list_freshness(folder.path(), later, FRESH_FOR);
+        set_largest_file(None);
+        assert!(noted.is_err(), "written whole with {largest} bytes");
+        let remaining = remaining_ns(folder.path(), later);
+        assert!(
+            remaining <= 6 * SECOND_NS,
+            "{largest} bytes: {remaining} ns"
+        );
+    }
+}
