Notice a process's own end before an event of the soak begins its restart

By reading, one order explains it: a process that was killed in its write is noticed up to 5 ms later. Where an event of the schedule meets it within those, the restart counted from the event, so that the request that ended with the process had no explanation; and a process that had crashed was not counted as crashed at all.

The check is stricter: such a crash counts now. The new test fails before (no crash, a restart that begins later) and passes now.

--- a/test-harness/src/soak.rs
+++ b/test-harness/src/soak.rs
@@ -181,29 +181,36 @@
                 restart.ready_at = Some(now);
             }
         }
-        if let Some(status) = self.sender.status().filter(|_| !self.is_restarting()) {
-            // Killed in a write, as it was told; else it has ended by itself.
-            if !self.faults()?.has_killed_in_write()? {
-                self.crashes.push(format!("{}: {status}", self.sender.name));
-            }
-            // It may have ended at any time since it was last seen alive.
-            self.begin_restart(self.alive_at, now);
-        }
+        self.notice_end(now)?;
         self.alive_at = now;
         Ok(())
     }
 
+    /// Begins the restart of a process that has ended by itself.
+    fn notice_end(&mut self, now: Instant) -> Result<(), NotPlayed> {
+        let Some(status) = self.sender.status().filter(|_| !self.is_restarting()) else {
+            return Ok(());
+        };
+        // Killed in a write, as it was told; else it has ended by itself.
+        if !self.faults()?.has_killed_in_write()? {
+            self.crashes.push(format!("{}: {status}", self.sender.name));
+        }
+        // It may have ended at any time since it was last seen alive.
+        self.begin_restart(self.alive_at, now);
+        Ok(())
+    }
+
     fn does(&mut self, event: &Event, stage: &Stage) -> Result<(), NotPlayed> {
+        let now = Instant::now();
+        // A restart that the event would begin has begun already if the process has ended.
+        self.notice_end(now)?;
         match event {
-            Event::Kill if !self.is_restarting() => {
-                self.begin_restart(Instant::now(), Instant::now())
-            }
+            Event::Kill if !self.is_restarting() => self.begin_restart(now, now),
             Event::KillInWrite(number) if !self.is_restarting() => {
                 self.faults()?.kill_in_write(*number)?;
             }
             Event::Terminate { times } if !self.is_restarting() => {
                 (0..*times).for_each(|_| self.sender.tell_to_end());
-                let now = Instant::now();
                 self.begin_restart(now, now + TERM_TO_KILL);
             }
             // Before it is ready, a process may not yet know that signal.
@@ -317,34 +324,38 @@
 }
 
 fn start(plan: &Plan, stage: &Stage) -> Result<Vec<Process>, NotPlayed> {
+    let numbers = 0..plan.senders;
+    let processes: Result<Vec<_>, _> = numbers.map(|n| new_process(plan, stage, n)).collect();
+    let processes = processes?;
+    for process in &processes {
+        process.sender.listens()?;
+    }
+    Ok(processes)
+}
+
+fn new_process(plan: &Plan, stage: &Stage, number: usize) -> Result<Process, NotPlayed> {
     let told = Told {
         program: &plan.program,
         seed: plan.seed,
         balancers: plan.senders,
         rare: false,
     };
-    let mut processes = Vec::new();
-    for n in 0..plan.senders {
-        let line = Relay::start(stage.directory.address)?;
-        stage.directory.names(line.address.port(), &format!("n{n}"));
-        let mut sender = stage.sender(&told, n, line.address)?;
-        sender.with_faults(plan.seed ^ n as u64)?;
-        sender.spawn()?;
-        processes.push(Process {
-            sender,
-            line,
-            restarts: Vec::new(),
-            pending: Vec::new(),
-            crowd: Vec::new(),
-            had_crowd: false,
-            crashes: Vec::new(),
-            alive_at: Instant::now(),
-        });
-    }
-    for process in &processes {
-        process.sender.listens()?;
-    }
-    Ok(processes)
+    let line = Relay::start(stage.directory.address)?;
+    let name = format!("n{number}");
+    stage.directory.names(line.address.port(), &name);
+    let mut sender = stage.sender(&told, number, line.address)?;
+    sender.with_faults(plan.seed ^ number as u64)?;
+    sender.spawn()?;
+    Ok(Process {
+        sender,
+        line,
+        restarts: Vec::new(),
+        pending: Vec::new(),
+        crowd: Vec::new(),
+        had_crowd: false,
+        crashes: Vec::new(),
+        alive_at: Instant::now(),
+    })
 }
 
 /// Learns how late this machine wakes a thread that sleeps.
@@ -494,3 +505,6 @@
         .for_each(&mut find);
     outcome
 }
+
+#[cfg(test)]
+mod tests;
