Log what the leader judges a zone with failed calls by

Now a debug line for each window does: "evidence: zone=b window_ms=1000 failed=19 calls=21 destinations=8 reporters=8 verdict=Unclear".

--- a/src/coordination/zones/evidence/judgement.rs
+++ b/src/coordination/zones/evidence/judgement.rs
@@ -176,6 +176,7 @@
             let faulty = self.destinations_at_fault(name, &windows, is_evacuated);
             let zone = &windows[name.as_str()];
             let verdict = self.judge_zone(zone, &faulty, &isolated, listed_destinations(name));
+            log_judgement(name, span_ms, zone, &verdict);
             (name.clone(), verdict)
         });
         judged.collect()
@@ -425,3 +426,19 @@
         !self.hanging.is_empty() || self.recent(now, span_ms).any(|seen| seen.failed > 0.0)
     }
 }
+
+/// Logs what a zone with failed calls was judged by.
+fn log_judgement(name: &str, span_ms: u32, zone: &ZoneWindow, verdict: &ZoneVerdict) {
+    let mut sum = RecentCounts::default();
+    for counts in zone.destinations.values() {
+        sum.add_weighted(*counts, 1.0);
+    }
+    log::debug!(
+        "evidence: zone={name} window_ms={span_ms} failed={:.0} calls={:.0} destinations={} reporters={} \
+         verdict={verdict:?}",
+        sum.failed,
+        sum.total(),
+        zone.destinations.len(),
+        zone.weights.len()
+    );
+}
