--- a/test-harness/src/soak.rs
+++ b/test-harness/src/soak.rs
@@ -181,8 +181,12 @@
                 restart.ready_at = Some(now);
             }
         }
+        // Its sockets may be closed for some time before its end can be seen.
+        let lives = !self.faults()?.is_killed_in_write()?;
         self.notice_end(now)?;
-        self.alive_at = now;
+        if lives {
+            self.alive_at = now;
+        }
         Ok(())
     }
 
--- a/test-harness/src/syscall_faults.rs
+++ b/test-harness/src/syscall_faults.rs
@@ -121,6 +121,15 @@
         self.set(Field::KillInWrite, number.into())
     }
 
+    /// Whether the process was killed so and [`SyscallFaults::has_killed_in_write`] has not told it
+    /// yet. It is known before the process's sockets close.
+    ///
+    /// # Errors
+    /// The file cannot be read.
+    pub fn is_killed_in_write(&self) -> io::Result<bool> {
+        Ok(self.get(Field::KilledInWrite)? != 0)
+    }
+
     /// Whether the process was killed so; it is told once.
     ///
     /// # Errors
