--- a/test-harness/src/soak.rs
+++ b/test-harness/src/soak.rs
@@ -266,14 +266,7 @@
 /// Stand-ins or processes could not be started.
 pub fn play(plan: &Plan) -> Result<Outcome, NotPlayed> {
     let schedule = Schedule::drawn(plan.seed, plan.senders, ENDPOINTS, plan.lasts);
-    let ground = Ground {
-        endpoints: ENDPOINTS,
-        zones: vec!["a".into()],
-        call: CALL,
-        terms: Terms::default(),
-        lines: true,
-    };
-    let mut stage = Stage::on(ground, ASK, |_| false)?;
+    let mut stage = Stage::on(ground(), ASK, |_| false)?;
     stage.deadline = schedule.deadline;
     let mut processes = start(plan, &stage)?;
     let lateness = Arc::new(Mutex::new(Duration::ZERO));
@@ -327,6 +320,16 @@
     ))
 }
 
+fn ground() -> Ground {
+    Ground {
+        endpoints: ENDPOINTS,
+        zones: vec!["a".into()],
+        call: CALL,
+        terms: Terms::default(),
+        lines: true,
+    }
+}
+
 fn start(plan: &Plan, stage: &Stage) -> Result<Vec<Process>, NotPlayed> {
     let numbers = 0..plan.senders;
     let processes: Result<Vec<_>, _> = numbers.map(|n| new_process(plan, stage, n)).collect();
--- a/test-harness/src/soak/tests.rs
+++ b/test-harness/src/soak/tests.rs
@@ -4,14 +4,7 @@
 /// its end was no crash then, and requests that ended with it had no explanation.
 #[test]
 fn an_event_after_a_process_ended_by_itself_hides_neither_its_end_nor_its_moment() {
-    let ground = Ground {
-        endpoints: ENDPOINTS,
-        zones: vec!["a".into()],
-        call: CALL,
-        terms: Terms::default(),
-        lines: true,
-    };
-    let stage = Stage::on(ground, ASK, |_| false).expect("a stage");
+    let stage = Stage::on(ground(), ASK, |_| false).expect("a stage");
     let plan = plan(Path::new("/bin/false"), 1);
     let mut process = new_process(&plan, &stage, 0).expect("started");
     let started_at = process.alive_at;
--- a/test-harness/src/syscall_faults.rs
+++ b/test-harness/src/syscall_faults.rs
@@ -135,7 +135,7 @@
     /// # Errors
     /// The file cannot be read or written.
     pub fn has_killed_in_write(&self) -> io::Result<bool> {
-        let has_killed = self.get(Field::KilledInWrite)? != 0;
+        let has_killed = self.is_killed_in_write()?;
         self.set(Field::KilledInWrite, 0)?;
         Ok(has_killed)
     }
