Let the kernel keep each signal until the program reads it

What callers saw: messages whose final answer was a notice had none. A lost SIGTERM left a sender or coordinator running until it was killed; a SIGHUP in the first milliseconds of a process ended it.

Cause: the signal handler wrote four bytes to a socket pair and dropped the result; the reader kept what it had read in a local variable and dropped it at an error. One call that was interrupted or came short lost the signal, and nothing looked again.

Signals are blocked before any other thread starts and read from a signalfd. A blocked signal stays pending in the kernel until it is read, so that no write, read or thread in between can lose it; a read that fails leaves it pending. nix takes the place of async-signal for that. torn_notes.rs blocks SIGXFSZ where it caught it; what it asserts is as it was.

--- a/src/coordination/replica/start.rs
+++ b/src/coordination/replica/start.rs
@@ -7,18 +7,18 @@
 use crate::coordination::replica::accept::Acceptor;
 use crate::coordination::replica::{draw, sites, Context, Incoming, Replica, Stage};
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::process_signals::ProcessSignals;
+use crate::process_signals::{BlockedSignals, Signal, SignalReceiver};
 use crate::store::disk::Folder;
 use crate::store::worker::{Offloaded, Worker};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use async_signal::Signal;
 use futures_lite::FutureExt;
 use rustix::fs::{flock, FlockOperation};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File};
+use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,6 +36,7 @@
 /// Runs a keeper until it is told to end. All that keeps it from starting, or from going on, is
 /// told.
 pub fn run(config: Config) -> Result<(), String> {
+    let ending = ending_signals().map_err(|e| format!("signals: {e}"))?;
     let folder = config.folder.display().to_string();
     let said = |e: &dyn std::fmt::Display| format!("state: {folder}: {e}");
     fs::create_dir_all(&config.folder).map_err(|e| said(&e))?;
@@ -67,10 +68,16 @@
         }
     };
     let executor = Rc::new(LocalExecutor::new());
-    let served = serve(config, keep, base, executor.clone());
+    let served = serve(config, keep, base, executor.clone(), ending);
     async_io::block_on(executor.run(served))
 }
 
+/// Blocks the signals that end a replica, before any other thread starts.
+fn ending_signals() -> io::Result<SignalReceiver> {
+    const ENDING: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+    BlockedSignals::new(&ENDING)?.receiver(&ENDING)
+}
+
 /// How many connections may be open: as many descriptors as the system gives when it is asked for
 /// more.
 fn most_connections() -> u64 {
@@ -117,9 +124,8 @@
     keep: RaftLogStore,
     base: Checkpoint,
     executor: Rc<LocalExecutor<'static>>,
+    ending: SignalReceiver,
 ) -> Result<(), String> {
-    let mut ending =
-        ProcessSignals::new(&[Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let listener = listen(&config)?;
     let wheel = TimerWheel::new();
     let (inbox, coming) = async_channel::bounded(INBOX);
@@ -140,7 +146,7 @@
     replica.begin().await?;
     replica.check_federation()?;
     let ended = async {
-        ending.received().await;
+        ending.next().await;
         Ok(())
     };
     let ended = replica.run(&coming, None).or(ended).await;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,6 @@
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use async_signal::Signal;
 use clap::Parser;
 use cli::{Cli, Command};
 use futures_lite::{Future, FutureExt};
@@ -42,13 +41,14 @@
 use raildeal::net::platform::providers::Poster;
 use raildeal::net::platform::watch::{Watch, BEAT};
 use raildeal::net::{MQTT, PLATFORM};
-use raildeal::process_signals::ProcessSignals;
+use raildeal::process_signals::{BlockedSignals, Signal, SignalReceiver};
 use raildeal::{Dispatcher, RestartState, Settings};
 use rustix::process::{getrlimit, Resource};
 use std::cell::Cell;
 use std::collections::hash_map::RandomState;
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -91,17 +91,19 @@
         Some(command) => return command.run(),
         None => cli.config,
     };
+    let signals = SenderSignals::block().map_err(|e| format!("signals: {e}"));
     let filters = std::env::var("RUST_LOG").unwrap_or_else(|_| "info".into());
     env_logger::Builder::new()
         .parse_filters(&with_present_paths(&filters))
         .parse_write_style(&std::env::var("RUST_LOG_STYLE").unwrap_or_default())
         .format_timestamp_millis()
         .init();
-    let config = configuration(source.as_deref());
     let executor = Rc::new(LocalExecutor::new());
     let turns = LoopLatency::default();
-    let served = config.and_then(|config| {
-        let work = executor.run(serve(config, source, executor.clone(), turns.clone()));
+    let served = signals.and_then(|signals| {
+        let config = configuration(source.as_deref())?;
+        let serving = serve(config, source, executor.clone(), turns.clone(), signals);
+        let work = executor.run(serving);
         if log::log_enabled!(log::Level::Debug) {
             async_io::block_on(turns.measure(work))
         } else {
@@ -163,8 +165,26 @@
     Ok(bound)
 }
 
-fn signals(which: &[Signal]) -> Result<ProcessSignals, String> {
-    ProcessSignals::new(which).map_err(|e| format!("signals: {e}"))
+/// The signals that a sender is sent, each kept until it is received.
+struct SenderSignals {
+    ending: SignalReceiver,
+    hangups: SignalReceiver,
+}
+
+impl SenderSignals {
+    /// Blocks them, which has to happen before any other thread starts.
+    fn block() -> io::Result<Self> {
+        const ENDING: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+        const HANGUPS: [Signal; 1] = [Signal::SIGHUP];
+        // Where the size of files is bounded, a write past it is an error like any other and not
+        // the end of the process.
+        const IGNORED: [Signal; 1] = [Signal::SIGXFSZ];
+        let blocked = BlockedSignals::new(&[&ENDING[..], &HANGUPS, &IGNORED].concat())?;
+        Ok(SenderSignals {
+            ending: blocked.receiver(&ENDING)?,
+            hangups: blocked.receiver(&HANGUPS)?,
+        })
+    }
 }
 
 /// Who may hold how many descriptors: of those that are told, or fewer, where the system allows
@@ -458,7 +478,9 @@
     file: Option<PathBuf>,
     executor: Rc<LocalExecutor<'static>>,
     turns: LoopLatency,
+    signals: SenderSignals,
 ) -> Result<(), String> {
+    let SenderSignals { ending, hangups } = signals;
     let Config {
         name, deployment, ..
     } = &config;
@@ -467,11 +489,6 @@
     // settings say.
     settings.poll_list = config.platform.is_some();
     let mut fleet = Fleet::read()?;
-    let mut ending = signals(&[Signal::Term, Signal::Int])?;
-    let mut hangups = signals(&[Signal::Hup])?;
-    // Where the size of files is bounded, a write past it is an error like any other and not the
-    // end of the process.
-    let _bounds = signals(&[Signal::Xfsz])?;
 
     // Each part, with its one owner.
     let wheel = TimerWheel::new();
@@ -678,13 +695,13 @@
     let reloading = driver.clone();
     keep(&executor, async move {
         loop {
-            hangups.received().await;
+            hangups.next().await;
             discovery.iter().for_each(|d| reload(file.as_deref(), d));
             zones.iter().for_each(|z| z.reload(&reloading));
         }
     });
 
-    ending.received().await;
+    ending.next().await;
     log::info!(
         "{name}: told to end with {} messages held",
         driver.held_count()
--- a/src/process_signals.rs
+++ b/src/process_signals.rs
@@ -1,30 +1,76 @@
 //! The signals that a process of this project is sent: to end, to read its configuration again.
+//!
+//! They are blocked, so that the kernel keeps each one pending until it is read from a descriptor.
+//! No handler runs, and nothing that may fail lies between the signal and its reader.
 
-use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use async_io::{Async, Timer};
+use nix::errno::Errno;
+use nix::sys::signal::SigSet;
+use nix::sys::signalfd::{SfdFlags, SignalFd};
 use std::io;
+use std::time::Duration;
 
-/// A set of signals that this process waits for. Made, it keeps them from their usual effect.
-pub struct ProcessSignals(Signals);
+pub use nix::sys::signal::Signal;
 
-impl ProcessSignals {
-    /// Waits for these.
+/// A read that failed is tried again after this time. The kernel names no error of such a read but
+/// an interrupted one; the pause keeps one that it does not name from using up the processor.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Signals that are kept from their usual effect in this thread and in all that it starts.
+///
+/// It has to be made before any other thread starts: the kernel gives a signal to any thread that
+/// does not block it. Once made, the signals stay blocked for as long as the process lives.
+pub struct BlockedSignals(SigSet);
+
+impl BlockedSignals {
+    /// Blocks these.
     ///
     /// # Errors
-    /// The system has no descriptor for them.
+    /// The system refuses to block them.
     pub fn new(signals: &[Signal]) -> io::Result<Self> {
-        Signals::new(signals).map(ProcessSignals)
+        let set: SigSet = signals.iter().copied().collect();
+        set.thread_block()?;
+        Ok(BlockedSignals(set))
+    }
+
+    /// Receives these of them.
+    ///
+    /// # Errors
+    /// One of them is not blocked, or the system has no descriptor for them.
+    pub fn receiver(&self, signals: &[Signal]) -> io::Result<SignalReceiver> {
+        if let Some(signal) = signals.iter().find(|s| !self.0.contains(**s)) {
+            let message = format!("{signal} is not blocked");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
+        }
+        let set: SigSet = signals.iter().copied().collect();
+        let flags = SfdFlags::SFD_NONBLOCK | SfdFlags::SFD_CLOEXEC;
+        let descriptor = SignalFd::with_flags(&set, flags)?;
+        Ok(SignalReceiver(Async::new_nonblocking(descriptor)?))
     }
+}
+
+/// Receives signals that are blocked.
+pub struct SignalReceiver(Async<SignalFd>);
+
+impl SignalReceiver {
+    /// Ends with the next of them, also with one that came while nobody waited. A signal that is
+    /// sent again before it was received counts once.
+    pub async fn next(&self) {
+        while let Err(e) = self.0.read_with(read_one).await {
+            log::error!("signals: not read: {e}");
+            Timer::after(READ_RETRY_DELAY).await;
+        }
+    }
+}
 
-    /// Ends with the next of them. A read of signals that fails is none: taken for one, an
-    /// interrupted read ended the process.
-    pub async fn received(&mut self) {
-        while let Some(signal) = self.0.next().await {
-            match signal {
-                Ok(_) => return,
-                Err(e) => log::debug!("signals: {e}"),
-            }
+/// Takes one that is pending.
+fn read_one(descriptor: &SignalFd) -> io::Result<()> {
+    loop {
+        match descriptor.read_signal() {
+            Ok(Some(_)) => return Ok(()),
+            Ok(None) => return Err(io::ErrorKind::WouldBlock.into()),
+            Err(Errno::EINTR) => {}
+            Err(e) => return Err(e.into()),
         }
-        future::pending().await
     }
 }
--- a/test-harness/src/sender.rs
+++ b/test-harness/src/sender.rs
@@ -64,6 +64,20 @@
 /// What is to be done with each line of a log, at once.
 pub(crate) type Heard = Arc<dyn Fn(&str) + Send + Sync>;
 
+/// Whether a signal was sent to a process that no thread of it has taken yet.
+///
+/// # Errors
+/// The system does not tell; the process is gone, say.
+pub fn has_untaken_signal(process: u32) -> io::Result<bool> {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let pending = status
+        .lines()
+        .filter_map(|l| l.strip_prefix("SigPnd:").or(l.strip_prefix("ShdPnd:")));
+    Ok(pending
+        .into_iter()
+        .any(|set| set.trim().bytes().any(|b| b != b'0')))
+}
+
 /// Reads what a process says until its end.
 pub(crate) fn follow(child: &mut Child, heard: Option<Heard>) -> Arc<Log> {
     let (stderr, log) = (child.stderr.take(), Arc::<Log>::default());
@@ -307,6 +321,15 @@
         let _ = pid.map(|pid| kill_process(pid, signal));
     }
 
+    /// Whether a signal was sent to its process that no thread of it has taken yet.
+    ///
+    /// # Errors
+    /// The system does not tell; the process is gone, say.
+    pub fn has_untaken_signal(&self) -> io::Result<bool> {
+        let child = self.child.as_ref().ok_or(io::ErrorKind::NotFound)?;
+        has_untaken_signal(child.id())
+    }
+
     /// Stops its process for a while, or lets it go on: it neither reads nor answers meanwhile.
     pub fn stopped(&self, stopped: bool) {
         self.signal(if stopped { Signal::STOP } else { Signal::CONT });
--- a/tests/multi_process/main.rs
+++ b/tests/multi_process/main.rs
@@ -2,6 +2,7 @@
 
 #[cfg(feature = "fleet")]
 mod policies;
+mod signals;
 mod slow_start;
 mod soak;
 mod standing;
--- a/tests/torn_notes.rs
+++ b/tests/torn_notes.rs
@@ -1,8 +1,8 @@
 //! A note beside the journal whose write fails in part. A program of its own, for the bound on its
 //! files.
 
-use async_signal::{Signal, Signals};
 use raildeal::delivery::journal::restart_state;
+use raildeal::process_signals::{BlockedSignals, Signal};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use std::path::Path;
 use std::time::Duration;
@@ -29,7 +29,7 @@
 #[test]
 fn a_note_of_freshness_that_fails_in_part_never_adds_to_it() {
     // Else the first write beyond the bound would end the program.
-    let _caught = Signals::new([Signal::Xfsz]).expect("signals");
+    let _blocked = BlockedSignals::new(&[Signal::SIGXFSZ]).expect("blocked");
     let folder = TempDir::new().expect("a folder");
     let noted_at = 1_796_307_503_999;
     let later = noted_at + 101;
