Interrupt reads of what is no file in the fault library, too

Signals are read from a descriptor by read, which the library passed on: the soak and the tests of signals no longer pressed on the place where they had found the lost signals. Reads of descriptors that are no files are interrupted now like those of sockets. That makes the check stricter.

An interrupted read of signals is taken for one that found none, and comes again in the next turn: a loop would keep the one thread for as long as reads are interrupted.

--- a/src/process_signals.rs
+++ b/src/process_signals.rs
@@ -63,14 +63,12 @@
     }
 }
 
-/// Takes one that is pending.
+/// Takes one that is pending. After an interrupted read it still is, so that the descriptor stays
+/// readable and is read again in the next turn.
 fn read_one(descriptor: &SignalFd) -> io::Result<()> {
-    loop {
-        match descriptor.read_signal() {
-            Ok(Some(_)) => return Ok(()),
-            Ok(None) => return Err(io::ErrorKind::WouldBlock.into()),
-            Err(Errno::EINTR) => {}
-            Err(e) => return Err(e.into()),
-        }
+    match descriptor.read_signal() {
+        Ok(Some(_)) => Ok(()),
+        Ok(None) | Err(Errno::EINTR) => Err(io::ErrorKind::WouldBlock.into()),
+        Err(e) => Err(e.into()),
     }
 }
--- a/test-harness/examples/fault_shim.rs
+++ b/test-harness/examples/fault_shim.rs
@@ -25,6 +25,7 @@
 const FILE_TYPE_MASK: u32 = 0o170_000;
 const REGULAR_FILE: u32 = 0o100_000;
 
+const SYS_READ: c_long = 0;
 const SYS_WRITE: c_long = 1;
 const SYS_FSTAT: c_long = 5;
 const SYS_PWRITE64: c_long = 18;
@@ -217,6 +218,19 @@
     }
 }
 
+/// Reads; what is no file is interrupted like a socket. Nothing of it is cut: a descriptor of
+/// signals gives whole ones.
+///
+/// # Safety
+/// As the C library's function of this name.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn read(file: c_int, into: *mut c_void, length: usize) -> isize {
+    if !is_regular(file) && draws(Field::InterruptPermille) {
+        return fails(EINTR);
+    }
+    unsafe { syscall(SYS_READ, file, into, length) as isize }
+}
+
 /// Syncs a file.
 ///
 /// # Safety
