Write last words whole however short and interrupted the writes are

Who finds no place, or no descriptor, is told so by a 503 with a time to come back, and an MQTT client that has to go by a DISCONNECT. Where the one write of it was interrupted, callers saw their connection end without a word; where it was cut, they had the beginning of an answer. Half a DISCONNECT on a connection that goes on would have been read as one with the next packet.

Cause: `Stream::try_send`, `Writer::try_send`, `tell` and `without_descriptor` each wrote once and dropped what came of it.

Why this works: `write_at_once` goes on after an interrupted and a short write and stops only where the socket takes no more. What goes through `Writer` in part ends its connection, as `Writer::send` does. The other three write to connections that are closed next.

A connection that is closed with an unread request is reset, and the system then drops what it has taken and not sent: with writes of one byte each that is most of the 503, which no number of writes changes.

--- a/src/net/connection_listener.rs
+++ b/src/net/connection_listener.rs
@@ -11,6 +11,7 @@
 use crate::delivery::client_quota::{Client, ClientQuotas};
 use crate::delivery::timer_wheel::TimerWheel;
 use crate::net::socket_error::{is_of_one_connection, is_out_of_descriptors};
+use crate::net::stream::write_at_once;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -19,7 +20,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::Write;
 use std::net::{IpAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -53,7 +53,7 @@
     /// any time.
     fn full(&self, socket: Async<TcpStream>, why: Why, wait: Duration) -> impl Future<Output = ()>;
 
-    /// The same in one write, without listening; nothing, where the protocol has no such word.
+    /// The same at once, without listening; nothing, where the protocol has no such word.
     fn full_at_once(&self, wait: Duration) -> Vec<u8>;
 
     /// What a connection brings, by its first bytes; they are not taken off it. Where a port does
@@ -384,9 +384,11 @@
         let accepted = listener.get_ref().accept();
         if let Ok((socket, _)) = &accepted {
             let wait = self.refused("no descriptor", COME_BACK);
-            let _ = socket
-                .set_nonblocking(true)
-                .and_then(|()| (&*socket).write(&port.full_at_once(wait)).map(drop));
+            match socket.set_nonblocking(true) {
+                Ok(()) => drop(write_at_once(socket, &port.full_at_once(wait))),
+                // Written to, it could block all others.
+                Err(e) => log::debug!("accept: {e}"),
+            }
         }
         let done = accepted.is_ok();
         drop(accepted);
@@ -619,10 +621,10 @@
         }
     }
 
-    /// The same in one write, without listening.
+    /// The same at once, without listening.
     fn tell(&self, socket: &Async<TcpStream>, why: Why, wait: Duration) {
         let wait = self.seats.refused(&why.to_string(), wait);
-        let _ = socket.get_ref().write(&self.port.full_at_once(wait));
+        write_at_once(socket.get_ref(), &self.port.full_at_once(wait));
     }
 }
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -72,7 +72,7 @@
 
     /// Writes a last word if the socket takes it at once; what does not go is not missed.
     pub fn try_send(&self, bytes: &[u8]) {
-        let _ = self.socket.get_ref().write(bytes);
+        write_at_once(self.socket.get_ref(), bytes);
     }
 
     /// Ends what this side sends and drops the rest as it comes, so that a last answer is read
@@ -123,6 +123,21 @@
     Ok(())
 }
 
+/// Writes what a socket that does not block takes at once, however short and interrupted the writes
+/// are. Gives how many bytes went.
+pub fn write_at_once(mut socket: &TcpStream, bytes: &[u8]) -> usize {
+    let mut written = 0;
+    while written < bytes.len() {
+        match socket.write(&bytes[written..]) {
+            Ok(0) => break,
+            Ok(n) => written += n,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => break,
+        }
+    }
+    written
+}
+
 /// Writes to a connection that another hand reads from.
 pub struct Writer {
     socket: Rc<Async<TcpStream>>,
@@ -141,16 +156,27 @@
             .timeout(self.patience, write_all(&self.socket, bytes))
             .await;
         sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
-            .inspect_err(|_| {
-                // Part of it may have gone: whatever followed would be read as its rest.
-                let _ = self.socket.get_ref().shutdown(Shutdown::Both);
-            })
+            .inspect_err(|_| self.end())
     }
 
-    /// Writes a last word if the socket takes it at once and nothing is half written.
+    /// Writes a last word if the socket takes it at once and nothing is half written. One that goes
+    /// in part ends the connection.
     pub fn try_send(&self, bytes: &[u8]) {
-        if self.turn.try_lock().is_some() {
-            let _ = self.socket.get_ref().write(bytes);
+        let Some(_turn) = self.turn.try_lock() else {
+            return;
+        };
+        let written = write_at_once(self.socket.get_ref(), bytes);
+        if (1..bytes.len()).contains(&written) {
+            self.end();
         }
     }
+
+    /// Ends the connection after a part of something: whatever followed would be read as its rest.
+    fn end(&self) {
+        // It fails where the other side has ended the connection already.
+        let _ = self.socket.get_ref().shutdown(Shutdown::Both);
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/sockets/door.rs
+++ b/tests/sockets/door.rs
@@ -24,7 +24,7 @@
 
 const MS: Duration = Duration::from_millis(1);
 const KNOWN: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
-const FLOOD: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 9);
+pub const FLOOD: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 9);
 
 /// Connects from an address of the loopback range.
 pub fn connect_from(from: Ipv4Addr, to: SocketAddr) -> Option<TcpStream> {
@@ -265,7 +265,7 @@
 
 /// Known by its address, or by its name where the flood comes from there too; on HTTP only the
 /// address can be known.
-fn door(same: bool, mqtt: bool) -> String {
+pub fn door(same: bool, mqtt: bool) -> String {
     let known = match (same, mqtt) {
         (false, _) => "known = [\"127.0.0.2\"]",
         (true, false) => "known = [\"127.0.0.9\"]",
@@ -357,7 +357,7 @@
 }
 
 /// One flood at a time: several would measure each other.
-static ALONE: Mutex<()> = Mutex::new(());
+pub static ALONE: Mutex<()> = Mutex::new(());
 
 fn is_served<W: Wire>(kind: Kind, same: bool, known: Known) {
     let _alone = ALONE.lock().unwrap_or_else(|e| e.into_inner());
--- a/tests/sockets/floods.rs
+++ b/tests/sockets/floods.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod door;
 mod http;
+mod last_words;
 mod mqtt;
 mod program;
 mod rig;
