Go on after an interrupted read or write of a frame

Where a read or a write of a frame was interrupted by a signal, callers of `framing` saw the connection end: an agent, a replica or another site was left in the middle of a frame and had to connect again, and an operator's connection to a replica could end before its answer.

Cause: futures-lite's `read_exact` and `write_all` give an interruption back as an error, and so does the single read of a frame's first byte, also in the blocking client.

Evidence: two tests over a line that is interrupted in each other call and takes one byte in the others, one for writes and one for both ways to read.

Why this works: an interruption says nothing of the connection. `fill` and `write_encoded` go on behind the bytes that have gone, so that the order of the bytes holds; each other error ends the connection as before, and an end before the first byte is still told apart from one within a frame.

--- a/src/coordination/framing.rs
+++ b/src/coordination/framing.rs
@@ -73,6 +73,46 @@
     }
 }
 
+/// What a failure to read the first byte of a frame says.
+fn closed_at_end(e: io::Error) -> FrameError {
+    match e.kind() {
+        io::ErrorKind::UnexpectedEof => FrameError::Closed,
+        _ => FrameError::Io(e),
+    }
+}
+
+/// Reads until all of it is full. A signal may interrupt that, which says nothing of the connection.
+async fn fill(from: &mut (impl AsyncRead + Unpin), mut into: &mut [u8]) -> io::Result<()> {
+    while !into.is_empty() {
+        match from.read(into).await {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(n) => into = &mut into[n..],
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Writes frames that are encoded, however short and interrupted the writes are.
+///
+/// # Errors
+/// The connection failed; a part may have gone.
+pub async fn write_encoded(
+    to: &mut (impl AsyncWrite + Unpin),
+    mut frames: &[u8],
+) -> Result<(), FrameError> {
+    while !frames.is_empty() {
+        match to.write(frames).await {
+            Ok(0) => return Err(FrameError::Io(io::ErrorKind::WriteZero.into())),
+            Ok(n) => frames = &frames[n..],
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(FrameError::Io(e)),
+        }
+    }
+    Ok(())
+}
+
 /// Reads a message with a body of at most `max_bytes`.
 ///
 /// # Errors
@@ -83,12 +123,10 @@
 ) -> Result<T, FrameError> {
     let mut head = [0; LENGTH_BYTES];
     // An end before the first byte is in order.
-    if from.read(&mut head[..1]).await? == 0 {
-        return Err(FrameError::Closed);
-    }
-    from.read_exact(&mut head[1..]).await?;
+    fill(from, &mut head[..1]).await.map_err(closed_at_end)?;
+    fill(from, &mut head[1..]).await?;
     let mut body = vec![0; decode_length(head, max_bytes)?];
-    from.read_exact(&mut body).await?;
+    fill(from, &mut body).await?;
     decode_body(&body)
 }
 
@@ -101,7 +139,7 @@
     message: &T,
     max_bytes: usize,
 ) -> Result<(), FrameError> {
-    Ok(to.write_all(&encode(message, max_bytes)?).await?)
+    write_encoded(to, &encode(message, max_bytes)?).await
 }
 
 /// The same as [`read`], for a client that blocks.
@@ -113,9 +151,8 @@
     max_bytes: usize,
 ) -> Result<T, FrameError> {
     let mut head = [0; LENGTH_BYTES];
-    if from.read(&mut head[..1])? == 0 {
-        return Err(FrameError::Closed);
-    }
+    // Unlike a single read, this goes on after a signal.
+    from.read_exact(&mut head[..1]).map_err(closed_at_end)?;
     from.read_exact(&mut head[1..])?;
     let mut body = vec![0; decode_length(head, max_bytes)?];
     from.read_exact(&mut body)?;
--- a/src/coordination/framing/tests.rs
+++ b/src/coordination/framing/tests.rs
@@ -1,5 +1,7 @@
 use crate::coordination::framing::*;
 use crate::coordination::messages::{PeerRole, MAX_FRAME_BYTES};
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 fn hello() -> Handshake {
     Handshake {
@@ -64,3 +66,87 @@
         Err(FrameError::VersionMismatch(_))
     ));
 }
+
+/// Bytes that are read and written one at a time; each other call is interrupted.
+#[derive(Default)]
+struct Interrupted {
+    bytes: Vec<u8>,
+    goes: bool,
+}
+
+impl Interrupted {
+    fn call(&mut self) -> io::Result<()> {
+        self.goes = !self.goes;
+        match self.goes {
+            true => Err(io::ErrorKind::Interrupted.into()),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Read for Interrupted {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        self.call()?;
+        if self.bytes.is_empty() || into.is_empty() {
+            return Ok(0);
+        }
+        into[0] = self.bytes.remove(0);
+        Ok(1)
+    }
+}
+
+impl AsyncRead for Interrupted {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        into: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Read::read(self.get_mut(), into))
+    }
+}
+
+impl AsyncWrite for Interrupted {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        Poll::Ready(this.call().map(|()| {
+            this.bytes.extend(bytes.first());
+            bytes.len().min(1)
+        }))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Guards against half a frame, and the end of its connection, where a write of it is interrupted.
+#[test]
+fn a_frame_goes_whole_through_interrupted_writes() {
+    let mut line = Interrupted::default();
+    async_io::block_on(write(&mut line, &hello(), MAX_FRAME_BYTES)).expect("written");
+    assert_eq!(
+        line.bytes,
+        encode(&hello(), MAX_FRAME_BYTES).expect("short")
+    );
+}
+
+/// Guards against a connection that ends without its answer where a read of it is interrupted.
+#[test]
+fn a_frame_comes_whole_through_interrupted_reads() {
+    let line = || Interrupted {
+        bytes: encode(&hello(), MAX_FRAME_BYTES).expect("short"),
+        goes: false,
+    };
+    let read: Handshake = async_io::block_on(read(&mut line(), MAX_FRAME_BYTES)).expect("whole");
+    assert_eq!(read, hello());
+    let read: Handshake = read_blocking(&mut line(), MAX_FRAME_BYTES).expect("whole");
+    assert_eq!(read, hello());
+}
--- a/src/coordination/replica/accept.rs
+++ b/src/coordination/replica/accept.rs
@@ -11,7 +11,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::io::split;
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::FutureExt;
 use serde::de::DeserializeOwned;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -186,9 +186,11 @@
     };
     let writing = async {
         while let Ok(bytes) = going.recv().await {
-            with_timeout(&wheel, WRITE_TIMEOUT, async {
-                Ok(to.write_all(&bytes).await?)
-            })
+            with_timeout(
+                &wheel,
+                WRITE_TIMEOUT,
+                framing::write_encoded(&mut to, &bytes),
+            )
             .await?;
         }
         Ok(())
--- a/src/coordination/replica/transport.rs
+++ b/src/coordination/replica/transport.rs
@@ -7,7 +7,7 @@
 use async_channel::Receiver;
 use async_io::Async;
 use futures_lite::io::split;
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::FutureExt;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
@@ -112,9 +112,11 @@
     let (mut from, mut to) = split(stream);
     let writing = async {
         while let Ok(bytes) = going.recv().await {
-            with_timeout(&context.wheel, WRITE_TIMEOUT, async {
-                Ok(to.write_all(&bytes).await?)
-            })
+            with_timeout(
+                &context.wheel,
+                WRITE_TIMEOUT,
+                framing::write_encoded(&mut to, &bytes),
+            )
             .await?;
         }
         Ok(())
