Let the soak tell of a process that runs on after SIGTERM until it is killed

Such a process takes on work up to the kill and resets its connections. A process that has neither ended nor logged that it was told to end 3.7 s after SIGTERM is a finding now. The other checks are as they were.

--- a/test-harness/src/soak.rs
+++ b/test-harness/src/soak.rs
@@ -41,6 +41,8 @@
 const CROWD: usize = 300;
 /// From SIGTERM to SIGKILL, by the protocol.
 const TERM_TO_KILL: Duration = Duration::from_millis(3_700);
+/// What a process logs once it acts upon SIGTERM.
+const TOLD_TO_END: &str = "told to end with";
 /// From SIGKILL to the next start, by the protocol.
 const KILL_TO_START: Duration = Duration::from_millis(600);
 /// Between moves of the directory that follow each other.
@@ -98,6 +100,8 @@
     pub unanswered: usize,
     /// Processes that ended by themselves.
     pub crashed: usize,
+    /// Processes that had not acted upon SIGTERM when they were killed.
+    pub deaf_to_end: usize,
     /// By how much the machine woke a thread too late, at the most, in milliseconds.
     pub lateness_ms: u64,
     /// What the rules say.
@@ -110,7 +114,7 @@
 impl Outcome {
     /// Whether no rule is broken.
     pub fn is_good(&self) -> bool {
-        let found = self.late + self.unanswered + self.crashed;
+        let found = self.late + self.unanswered + self.crashed + self.deaf_to_end;
         found == 0 && self.verdict == Verdict::default()
     }
 }
@@ -128,6 +132,10 @@
     had_crowd: bool,
     /// How it ended by itself.
     crashes: Vec<String>,
+    /// SIGTERM was sent to the process that runs.
+    is_told_to_end: bool,
+    /// Processes that were killed without having acted upon SIGTERM.
+    deaf_to_end: Vec<String>,
     /// When it was last looked at and lived.
     alive_at: Instant,
 }
@@ -167,7 +175,10 @@
         due.sort_by_key(|(at, _)| *at);
         for (_, signal) in due {
             match signal {
-                Signal::Kill => self.sender.kill(),
+                Signal::Kill => {
+                    self.notice_deafness();
+                    self.sender.kill();
+                }
                 Signal::Start => {
                     record.starts(&self.sender.name);
                     self.sender.spawn()?;
@@ -190,6 +201,16 @@
         Ok(())
     }
 
+    /// Tells of a process that runs on as if it had not been told to end.
+    fn notice_deafness(&mut self) {
+        let was_told = std::mem::take(&mut self.is_told_to_end);
+        if was_told && self.sender.status().is_none() && !self.sender.log().said(TOLD_TO_END) {
+            let name = &self.sender.name;
+            self.deaf_to_end
+                .push(format!("{name}: runs on after SIGTERM until it is killed"));
+        }
+    }
+
     /// Begins the restart of a process that has ended by itself.
     fn notice_end(&mut self, now: Instant) -> Result<(), NotPlayed> {
         let Some(status) = self.sender.status().filter(|_| !self.is_restarting()) else {
@@ -214,6 +235,8 @@
                 self.faults()?.kill_in_write(*number)?;
             }
             Event::Terminate { times } if !self.is_restarting() => {
+                // The log keeps words from when they are first asked for.
+                self.is_told_to_end = !self.sender.log().said(TOLD_TO_END);
                 (0..*times).for_each(|_| self.sender.tell_to_end());
                 self.begin_restart(now, now + TERM_TO_KILL);
             }
@@ -361,6 +384,8 @@
         crowd: Vec::new(),
         had_crowd: false,
         crashes: Vec::new(),
+        is_told_to_end: false,
+        deaf_to_end: Vec::new(),
         alive_at: Instant::now(),
     })
 }
@@ -444,6 +469,7 @@
         events: schedule.events.len(),
         handed_in: submissions.len(),
         crashed: processes.iter().map(|p| p.crashes.len()).sum(),
+        deaf_to_end: processes.iter().map(|p| p.deaf_to_end.len()).sum(),
         lateness_ms: lateness.as_millis() as u64,
         verdict: stage.record.verdict(),
         ..Outcome::default()
@@ -454,8 +480,10 @@
             outcome.findings.push(text);
         }
     };
-    let crashes = processes.iter().flat_map(|p| &p.crashes);
-    crashes.cloned().for_each(&mut find);
+    let of_processes = processes
+        .iter()
+        .flat_map(|p| p.crashes.iter().chain(&p.deaf_to_end));
+    of_processes.cloned().for_each(&mut find);
     for submission in &submissions {
         let Submission { id, process, .. } = submission;
         let restarts = &processes[*process].restarts;
