Let a move of discovery come before the end of the watch that it ends

What callers saw: after SIGHUP a sender asked the new address, refused each list there whose revision was below the held one (`watch: revision 7 is older than the held 41`), and made no new attempts from 6 s on; a second SIGHUP changed nothing.

Cause: work at the old address was polled before the word of the move. Where both were ready in one turn, since the old watch had ended by then, its end was told and the move dropped. No fault library is needed: SIGHUP, and the old directory closes before the program has read the signal.

The move is polled first. On the one thread none can come between that and the poll of the work, so that no move is dropped. A notice that was heard in that very turn goes once more, which the protocol allows.

--- a/src/net/platform/discovery.rs
+++ b/src/net/platform/discovery.rs
@@ -43,6 +43,8 @@
             listening.await;
             None
         };
-        async { Some(work.await) }.or(moved).await
+        // The move comes first: it is told once, and work that ends in the same turn is not the
+        // end that its caller has to know of.
+        moved.or(async { Some(work.await) }).await
     }
 }
--- a/tests/sockets/reload.rs
+++ b/tests/sockets/reload.rs
@@ -123,6 +123,22 @@
     rig.finish(&["m1", "m2", "m3"]);
 }
 
+/// Guards against a move that is forgotten, with the new list refused as an old one, where the old
+/// watch ends in the turn in which the program learns of the move.
+#[test]
+fn a_move_counts_where_the_old_watch_ends_in_the_same_turn() {
+    let mut rig = Rig::<Http>::start(&[("p", "a"), ("q", "b")]);
+    let targets = rig.discovery.targets();
+    let kept = targets.into_iter().filter(|t| t["uid"] == "q").collect();
+    rig.program.signal("STOP");
+    let old = rig.move_discovery(Discovery::start_from(1, kept));
+    old.hang_up();
+    rig.program.signal("CONT");
+    rig.program.says("provider p ");
+    rig.serves(&["m1", "m2", "m3"], "q");
+    rig.finish(&["m1", "m2", "m3"]);
+}
+
 /// Guards against new work at a drained endpoint after a move to a directory that is behind the one
 /// before.
 #[test]
