Name the signals that end a process in one place

Sender and coordinator each had the same list of SIGTERM and SIGINT; it stands beside the type that blocks them now. An iterator of the harness was made one twice.

--- a/src/coordination/replica/start.rs
+++ b/src/coordination/replica/start.rs
@@ -7,7 +7,7 @@
 use crate::coordination::replica::accept::Acceptor;
 use crate::coordination::replica::{draw, sites, Context, Incoming, Replica, Stage};
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::process_signals::{BlockedSignals, Signal, SignalReceiver};
+use crate::process_signals::{BlockedSignals, SignalReceiver, ENDING_SIGNALS};
 use crate::store::disk::Folder;
 use crate::store::worker::{Offloaded, Worker};
 use async_channel::Sender;
@@ -74,8 +74,7 @@
 
 /// Blocks the signals that end a replica, before any other thread starts.
 fn ending_signals() -> io::Result<SignalReceiver> {
-    const ENDING: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
-    BlockedSignals::new(&ENDING)?.receiver(&ENDING)
+    BlockedSignals::new(&ENDING_SIGNALS)?.receiver(&ENDING_SIGNALS)
 }
 
 /// How many connections may be open: as many descriptors as the system gives when it is asked for
--- a/src/main.rs
+++ b/src/main.rs
@@ -41,7 +41,7 @@
 use raildeal::net::platform::providers::Poster;
 use raildeal::net::platform::watch::{Watch, BEAT};
 use raildeal::net::{MQTT, PLATFORM};
-use raildeal::process_signals::{BlockedSignals, Signal, SignalReceiver};
+use raildeal::process_signals::{BlockedSignals, Signal, SignalReceiver, ENDING_SIGNALS};
 use raildeal::{Dispatcher, RestartState, Settings};
 use rustix::process::{getrlimit, Resource};
 use std::cell::Cell;
@@ -174,14 +174,13 @@
 impl SenderSignals {
     /// Blocks them, which has to happen before any other thread starts.
     fn block() -> io::Result<Self> {
-        const ENDING: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
         const HANGUPS: [Signal; 1] = [Signal::SIGHUP];
         // Where the size of files is bounded, a write past it is an error like any other and not
         // the end of the process.
         const NEVER_READ: [Signal; 1] = [Signal::SIGXFSZ];
-        let blocked = BlockedSignals::new(&[&ENDING[..], &HANGUPS, &NEVER_READ].concat())?;
+        let blocked = BlockedSignals::new(&[&ENDING_SIGNALS[..], &HANGUPS, &NEVER_READ].concat())?;
         Ok(SenderSignals {
-            ending: blocked.receiver(&ENDING)?,
+            ending: blocked.receiver(&ENDING_SIGNALS)?,
             hangups: blocked.receiver(&HANGUPS)?,
         })
     }
--- a/src/process_signals.rs
+++ b/src/process_signals.rs
@@ -13,6 +13,9 @@
 
 pub use nix::sys::signal::Signal;
 
+/// Those that tell a process to end.
+pub const ENDING_SIGNALS: [Signal; 2] = [Signal::SIGTERM, Signal::SIGINT];
+
 /// After an error of a read, the next one comes after this time. No error but an interruption is
 /// documented for these reads; the pause is so long that one would cost no noticeable processor
 /// time, and so short that no signal would be late.
--- a/test-harness/src/sender.rs
+++ b/test-harness/src/sender.rs
@@ -70,12 +70,10 @@
 /// The system does not tell; the process is gone, say.
 pub fn has_untaken_signal(process: u32) -> io::Result<bool> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status"))?;
-    let pending = status
+    let mut pending = status
         .lines()
         .filter_map(|l| l.strip_prefix("SigPnd:").or(l.strip_prefix("ShdPnd:")));
-    Ok(pending
-        .into_iter()
-        .any(|set| set.trim().bytes().any(|b| b != b'0')))
+    Ok(pending.any(|set| set.trim().bytes().any(|b| b != b'0')))
 }
 
 /// Reads what a process says until its end.
