Replace files durably in one place

The document store had the steps (write beside, sync, rename, sync the folder) to itself, and the zone file needs them next. They are now src/durable_file.rs, which net and agent may use; the unfinished file keeps its name.

--- a/src/agent/document_store/files.rs
+++ b/src/agent/document_store/files.rs
@@ -9,13 +9,12 @@
 
 use super::{DocumentError, StoredDocument};
 use crate::coordination::messages::Digest;
+use crate::durable_file::{self, UNFINISHED_EXTENSION};
 use data_encoding::HEXLOWER;
-use std::fs::{self, File};
-use std::io::{self, Write};
+use std::fs;
+use std::io;
 use std::path::Path;
 
-/// Extension of a file while it is written.
-const NEW_EXTENSION: &str = "new";
 /// The file with the number of the document that was applied last.
 pub(super) const LAST_APPLIED_FILE: &str = "last";
 /// Block size of the file system, in bytes: files occupy whole blocks.
@@ -61,7 +60,7 @@
     for entry in entries {
         let entry = entry?;
         let name = entry.file_name().to_string_lossy().into_owned();
-        if name.ends_with(&format!(".{NEW_EXTENSION}")) {
+        if name.ends_with(&format!(".{UNFINISHED_EXTENSION}")) {
             fs::remove_file(entry.path())?;
         } else if name == LAST_APPLIED_FILE || name.ends_with(&format!(".{}", K::NAME)) {
             let bytes = entry.metadata()?.len();
@@ -82,7 +81,7 @@
     let start = header_start::<K>();
     let header = format!("{start} {number} {}\n", HEXLOWER.encode(&digest));
     let bytes = [header.as_bytes(), text.as_bytes()].concat();
-    replace(folder, &file_name::<K>(number), &bytes)
+    durable_file::replace(&folder.join(file_name::<K>(number)), &bytes)
 }
 
 /// Reads a document's file.
@@ -127,21 +126,6 @@
 
 /// Writes the number of the applied document.
 pub(super) fn write_last_applied(folder: &Path, number: u64) -> io::Result<()> {
-    replace(folder, LAST_APPLIED_FILE, format!("{number}\n").as_bytes())
-}
-
-/// Replaces a file durably, and atomically for its readers.
-fn replace(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
-    let new = folder.join(format!("{name}.{NEW_EXTENSION}"));
-    let mut file = File::create(&new)?;
-    let replaced = file
-        .write_all(bytes)
-        .and_then(|()| file.sync_all())
-        .and_then(|()| fs::rename(&new, folder.join(name)));
-    if let Err(e) = replaced {
-        // A full disk must not keep the unfinished file.
-        let _ = fs::remove_file(&new);
-        return Err(e);
-    }
-    File::open(folder)?.sync_all()
+    let text = format!("{number}\n");
+    durable_file::replace(&folder.join(LAST_APPLIED_FILE), text.as_bytes())
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod coordination;
 pub mod delivery;
 pub mod dispatch;
+pub mod durable_file;
 pub mod log_filter;
 pub mod loop_latency;
 pub mod message_trace;
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -9,9 +9,10 @@
 
 /// Each part of the library and the parts that it may use. The crate's root re-exports the
 /// interface of `dispatch`.
-const MAY_USE: [(&str, &[&str]); 13] = [
+const MAY_USE: [(&str, &[&str]); 14] = [
     ("store", &[]),
     ("dispatch", &[]),
+    ("durable_file", &[]),
     ("log_filter", &[]),
     ("loop_latency", &[]),
     ("process_signals", &[]),
@@ -25,6 +26,7 @@
             "admission_control",
             "delivery",
             "dispatch",
+            "durable_file",
             PLATFORM_SETTINGS,
         ],
     ),
@@ -44,7 +46,14 @@
     ),
     (
         "agent",
-        &["config", "coordination", "delivery", "dispatch", "store"],
+        &[
+            "config",
+            "coordination",
+            "delivery",
+            "dispatch",
+            "durable_file",
+            "store",
+        ],
     ),
 ];
 
