Start with the zone last in use where the zone file cannot be used

A start also took a zone with an older serial, and called an endpoint that the newer zone had removed.

Cause: nothing of the zone in use outlived the process, so the zone file was the only source of a start.

Change: the state folder keeps a copy of the zone in use, with a checksum, written beside, synced and renamed. A start keeps it where the file cannot be used or its serial is not newer, as SIGHUP does. Where neither can be used and final answers are owed, the start goes on without a list, so that what is held ends in its time. Zone files are read and written on a thread of their own.

On the tests of tests/sockets/start_files.rs for the zone file, the older serial and neither file nor copy fail, each for the fault.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -11,7 +11,8 @@
 use crate::delivery::policies::Policy;
 use crate::delivery::script_hook::ScriptHook;
 use crate::net::connection_listener::WhenFull;
-use crate::net::dns::server::Zones;
+use crate::net::dns::zone_cache::ZoneCache;
+use crate::net::dns::zone_file;
 use crate::net::platform::list;
 use crate::{ClassLimits, Condition, DestinationId, Settings};
 use data_encoding::BASE64;
@@ -43,7 +44,7 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
-    /// The store in that folder.
+    /// The store in that folder, if nothing else needs room there.
     pub store: JournalOptions,
     /// Settings of module and deployment.
     pub deployment: Deployment,
@@ -586,6 +587,23 @@
         }
     }
 
+    /// Returns the options of the journal, which shares the state folder with the zone's copy.
+    pub fn journal_options(&self) -> JournalOptions {
+        let reserved_bytes = match &self.dns {
+            Some(_) => ZoneCache::reserved_bytes(self.store.limit_bytes),
+            None => 0,
+        };
+        JournalOptions {
+            limit_bytes: self.store.limit_bytes - reserved_bytes,
+            ..self.store
+        }
+    }
+
+    /// Returns the place in the state folder for the copy of a zone.
+    pub fn zone_cache(&self, dns: &Dns) -> ZoneCache {
+        ZoneCache::new(&self.state, &dns.zone_file, self.store.limit_bytes)
+    }
+
     /// All that is wrong with values that are well formed.
     fn faults(&self) -> Vec<String> {
         let kinds = &self.deployment.kinds;
@@ -635,7 +653,8 @@
         let mut faults = Vec::new();
         faults.extend(self.hook.as_deref().and_then(|path| script(path).err()));
         if let Some(dns) = &self.dns {
-            faults.extend(Zones::open(&dns.zone_file).err());
+            let zone = zone_file::read(&dns.zone_file);
+            faults.extend(zone.err().map(|e| format!("dns.zone_file: {e}")));
             faults.extend(dns.updates.as_ref().and_then(|u| u.signer().err()));
         }
         faults
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,7 +31,8 @@
 use raildeal::net::by_kind::ByKind;
 use raildeal::net::calls::Calls;
 use raildeal::net::connection_listener::{ConnectionListener, WhenFull};
-use raildeal::net::dns::server::{UpdatePort, Zones};
+use raildeal::net::dns::server::UpdatePort;
+use raildeal::net::dns::zones::Zones;
 use raildeal::net::mqtt::brokers::Publisher;
 use raildeal::net::mqtt::ingress::Port;
 use raildeal::net::mqtt::sessions::Sessions;
@@ -334,7 +335,8 @@
             Ok(p + document_store::reserved_bytes::<RoutingTables>(&config.state, tables)?)
         });
         let reserved = both.map_err(|e| format!("state: {}: {e}", config.state.display()))?;
-        let limit = config.store.limit_bytes.saturating_sub(reserved);
+        let options = config.journal_options();
+        let limit = options.limit_bytes.saturating_sub(reserved);
         if limit < reserved {
             let least = 2 * reserved;
             return Err(format!(
@@ -343,7 +345,7 @@
         }
         Ok(JournalOptions {
             limit_bytes: limit,
-            ..config.store
+            ..options
         })
     }
 
@@ -379,7 +381,7 @@
                 client_slots: budget.clients,
                 // One at least is kept of what is kept idle.
                 max_calls: budget.calls + budget.kept.saturating_sub(1),
-                disk_bytes: config.store.limit_bytes,
+                disk_bytes: config.journal_options().limit_bytes,
             });
             let unchanged = validation.clone();
             let current = Box::new(move || unchanged.clone());
@@ -462,7 +464,7 @@
     }
 
     fn store(&self, config: &Config) -> Result<JournalOptions, String> {
-        Ok(config.store)
+        Ok(config.journal_options())
     }
 
     fn start(&mut self, _: &Wired) -> Result<(), String> {
@@ -504,6 +506,7 @@
         },
     )
     .map_err(|e| format!("state: {}: {e}", config.state.display()))?;
+    let owes_answers = !unfinished.is_empty();
     settings.watch_heartbeat = config
         .platform
         .as_ref()
@@ -530,8 +533,9 @@
     let zones = config
         .dns
         .as_ref()
-        .map(|d| Zones::open(&d.zone_file))
-        .transpose()?;
+        .map(|d| Zones::open(&d.zone_file, config.zone_cache(d), owes_answers))
+        .transpose()
+        .map_err(|e| e.to_string())?;
     let discovery = config
         .platform
         .as_ref()
@@ -591,7 +595,7 @@
     log::info!("{name}: {} messages to take up", unfinished.len());
     match zones
         .as_ref()
-        .map(|z| z.list_update())
+        .and_then(|z| z.list_update())
         .or(config.known.clone())
     {
         Some(list) => driver.apply_list_update(&list),
@@ -605,6 +609,10 @@
     );
     keep(&executor, tended.maintain(wheel.clone()));
     keep(&executor, synced.run_sync());
+    if let Some(zones) = zones.clone() {
+        let wheel = wheel.clone();
+        keep(&executor, async move { zones.maintain_cache(&wheel).await });
+    }
     let sweeping = invoker.clone();
     keep(&executor, async move { sweeping.sweep().await });
     if let Some(notices) = notices.clone() {
@@ -696,7 +704,9 @@
         loop {
             hangups.received().await;
             discovery.iter().for_each(|d| reload(file.as_deref(), d));
-            zones.iter().for_each(|z| z.reload(&reloading));
+            if let Some(zones) = &zones {
+                zones.reload(&reloading).await;
+            }
         }
     });
 
--- a/src/net/dns/mod.rs
+++ b/src/net/dns/mod.rs
@@ -4,3 +4,6 @@
 pub mod server;
 pub mod update;
 pub mod zone;
+pub mod zone_cache;
+pub mod zone_file;
+pub mod zones;
--- a/src/net/dns/server.rs
+++ b/src/net/dns/server.rs
@@ -1,11 +1,8 @@
-//! Owner of the zone and its file, and the port that takes signed updates (RFC 2136 over TCP, RFC
-//! 8945).
+//! The port that takes signed updates of the zone (RFC 2136 over TCP, RFC 8945).
 
-use super::update::{self, is_newer};
-use super::zone::Zone;
+use super::zones::Zones;
 use crate::admission_control::connection_slots::Why;
 use crate::delivery::driver::DispatcherDriver;
-use crate::delivery::endpoint::EndpointListUpdate;
 use crate::delivery::timer_wheel::TimerWheel;
 use crate::delivery::unix_ms;
 use crate::net::connection_listener::{Seat, Serve};
@@ -16,11 +13,8 @@
 use hickory_proto::dnssec::tsig::TSigner;
 use hickory_proto::op::{Message, MessageType, OpCode, ResponseCode};
 use hickory_proto::rr::{DNSClass, RData, Record};
-use std::cell::{Cell, RefCell};
-use std::fs;
 use std::io;
 use std::net::TcpStream;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,88 +23,6 @@
 /// A connection without a message is closed after this time.
 const IDLE: Duration = Duration::from_secs(30);
 
-/// The zone and its file.
-pub struct Zones {
-    path: PathBuf,
-    zone: RefCell<Zone>,
-    rev: Cell<u64>,
-}
-
-impl Zones {
-    /// Reads the zone file.
-    pub fn open(path: &Path) -> Result<Rc<Self>, String> {
-        let zone = load(path).map_err(|e| format!("dns.zone_file: {e}"))?;
-        Ok(Rc::new(Zones {
-            path: path.into(),
-            zone: RefCell::new(zone),
-            rev: Cell::new(1),
-        }))
-    }
-
-    /// The list as it stands.
-    pub fn list_update(&self) -> EndpointListUpdate {
-        // A zone is only kept once its providers could be read.
-        let entries = self.zone.borrow().providers().unwrap_or_default();
-        EndpointListUpdate {
-            revision: self.rev.get(),
-            complete: true,
-            entries,
-        }
-    }
-
-    /// Reads the file again. One that is wrong, or not newer by its serial, changes nothing.
-    pub fn reload(&self, driver: &DispatcherDriver) {
-        match load(&self.path) {
-            Ok(zone) if is_newer(zone.serial(), self.zone.borrow().serial()) => {
-                self.tell(zone, driver)
-            }
-            Ok(zone) => log::warn!(
-                "dns: serial {} is not newer; the old list stays",
-                zone.serial()
-            ),
-            Err(e) => log::error!("dns: {e}; the old list stays"),
-        }
-    }
-
-    /// Carries an update out: on file first, then for all to see.
-    fn update(&self, message: &Message, driver: &DispatcherDriver) -> Result<(), ResponseCode> {
-        let next = update::apply(&self.zone.borrow(), message)?;
-        if let Some(zone) = next {
-            self.persist(&zone).map_err(|e| {
-                log::error!("dns: {}: {e}", self.path.display());
-                ResponseCode::ServFail
-            })?;
-            self.tell(zone, driver);
-        }
-        Ok(())
-    }
-
-    fn persist(&self, zone: &Zone) -> io::Result<()> {
-        let text = zone.text();
-        // What is written has to read back as what is held.
-        let back = Zone::read(&text, None).map_err(io::Error::other)?;
-        if back.text() != text {
-            return Err(io::Error::other("the zone cannot be written as it is"));
-        }
-        let next = self.path.with_extension("new");
-        fs::write(&next, text)?;
-        fs::rename(&next, &self.path)
-    }
-
-    fn tell(&self, zone: Zone, driver: &DispatcherDriver) {
-        log::info!("dns: zone {} at serial {}", zone.origin, zone.serial());
-        *self.zone.borrow_mut() = zone;
-        self.rev.set(self.rev.get() + 1);
-        driver.apply_list_update(&self.list_update());
-    }
-}
-
-fn load(path: &Path) -> Result<Zone, String> {
-    let text = fs::read_to_string(path).map_err(|e| e.to_string());
-    text.and_then(|t| Zone::read(&t, None))
-        .map_err(|e| format!("{}: {e}", path.display()))
-}
-
 /// The port for updates.
 pub struct UpdatePort {
     /// The zone.
@@ -125,7 +37,7 @@
 
 impl UpdatePort {
     /// The answer to a message; nothing to what has not even a header.
-    fn answer(&self, bytes: &[u8]) -> Option<Vec<u8>> {
+    async fn answer(&self, bytes: &[u8]) -> Option<Vec<u8>> {
         let id = u16::from_be_bytes([*bytes.first()?, *bytes.get(1)?]);
         let message = match Message::from_vec(bytes) {
             Ok(message) if message.message_type() == MessageType::Query => message,
@@ -148,6 +60,7 @@
             (Some(ResponseCode::NoError), OpCode::Update) => self
                 .zones
                 .update(&message, &self.driver)
+                .await
                 .err()
                 .unwrap_or(ResponseCode::NoError),
             (Some(ResponseCode::NoError), _) => ResponseCode::NotImp,
@@ -227,7 +140,7 @@
         let mut stream = Stream::new(socket);
         while let Some(Ok(Some(message))) = self.wheel.timeout(IDLE, read(&mut stream)).await {
             seat.busy();
-            let Some(answer) = self.answer(&message) else {
+            let Some(answer) = self.answer(&message).await else {
                 return;
             };
             let framed = [&(answer.len() as u16).to_be_bytes()[..], &answer].concat();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -19,6 +19,7 @@
 mod rig;
 mod scenarios;
 mod spoilt;
+mod start_files;
 mod store;
 mod tenants;
 
