Start without a script or secret that cannot be read while answers are owed

What callers saw: a script or the secret of updates that was half written, empty, gone or unreadable ended each start, also of a sender that held messages, which then had no final answer. Cause: the class of the zone file's fault; none of the answers owed needs either file. A start that owes final answers now goes on without the script (messages pass, as where a script fails) or without the port for updates, and logs the setting; with none owed it ends with the setting's name as before, and raildeal check tells it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -143,6 +143,21 @@
     }
 }
 
+/// Returns a part that an operator's file sets up. A process that owes final answers starts without
+/// a part whose file cannot be used: none of the answers needs it.
+fn start_without<T>(
+    part: Option<Result<T, String>>,
+    owes_answers: bool,
+) -> Result<Option<T>, String> {
+    match part.transpose() {
+        Err(e) if owes_answers => {
+            log::error!("{e}; the start goes on without, as final answers are owed");
+            Ok(None)
+        }
+        part => part,
+    }
+}
+
 /// What no client can know.
 fn salt() -> u64 {
     RandomState::new().build_hasher().finish()
@@ -548,7 +563,8 @@
     let mut fronts: BTreeMap<u8, Rc<dyn Frontend>> = BTreeMap::new();
     fronts.extend(notices.clone().map(|n| (PLATFORM, n as Rc<dyn Frontend>)));
     fronts.extend(sessions.clone().map(|s| (MQTT, s as Rc<dyn Frontend>)));
-    let hook = config.hook.as_deref().map(script).transpose()?;
+    let hook = config.hook.as_deref().map(script);
+    let hook = start_without(hook, owes_answers)?;
     let terms =
         PolicySet::new(
             config
@@ -576,7 +592,8 @@
 
     // Ports, so that whatever is wrong with them is told before anything is served.
     let updates = config.dns.as_ref().and_then(|d| d.updates.as_ref());
-    let signer = updates.map(Updates::signer).transpose()?;
+    let signer = start_without(updates.map(Updates::signer), owes_answers)?;
+    let updates = updates.filter(|_| signer.is_some());
     let platform_port = config
         .platform
         .as_ref()
--- a/tests/sockets/start_files.rs
+++ b/tests/sockets/start_files.rs
@@ -7,6 +7,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+const SCRIPT: &str = "fn ingress(message) { if message.size > 1000 { #{ reject_ms: 500 } } }";
+
 /// Ways in which a file cannot be used.
 #[derive(Clone, Copy, Debug)]
 enum Spoilt {
@@ -181,3 +183,31 @@
         .filter(|path| path.extension().is_none_or(|e| e != "seg"))
         .collect()
 }
+
+#[test]
+fn a_script_or_secret_that_cannot_be_read_ends_no_start_that_owes_answers() {
+    for how in EACH_WAY {
+        let mut site = Site::start_with_script(SCRIPT);
+        hold(&mut site, &message("held"));
+        site.kill();
+        let (script, secret) = (site.script_file(), site.secret_file());
+        let content = fs::read(&secret).expect("a file");
+        spoil(&script, how);
+        spoil(&secret, how);
+        site.start_again_without_updates();
+        assert_logged(&mut site, "hook.script");
+        assert_logged(&mut site, "dns.updates.secret_file");
+        deliver(&site, "held");
+        assert_eq!(site.used(&["new"]).len(), 1, "{how:?}");
+        // With nothing owed the same file ends the start.
+        site.end();
+        let told = site.start_that_ends();
+        assert!(told.contains("hook.script"), "{told}");
+        restore(&script, SCRIPT.as_bytes());
+        let told = site.start_that_ends();
+        assert!(told.contains("dns.updates.secret_file"), "{told}");
+        restore(&secret, &content);
+        site.start_again();
+        site.providers.check();
+    }
+}
