Refuse an update that would write over a zone file that waits for SIGHUP

What operators saw: an update that came while their zone file was half written, or was newer and not yet told by SIGHUP, replaced it by the zone in memory. Cause: the file was written without a look at what it held. It is now read first: one that cannot be read, or that would count at SIGHUP, stays, and the update is answered SERVFAIL.

--- a/src/net/dns/zones.rs
+++ b/src/net/dns/zones.rs
@@ -214,6 +214,7 @@
     let Some(zone) = update::apply(held, message)? else {
         return Ok(None);
     };
+    check_file_is_not_ahead(path, held)?;
     zone_file::replace(path, &zone).map_err(|e| {
         log::error!("dns: {}: {e}", path.display());
         ResponseCode::ServFail
@@ -221,6 +222,24 @@
     Ok(Some(zone))
 }
 
+/// Checks that an update does not write over a change of the operator's that does not count yet: a
+/// file that is being written, or one that waits for its SIGHUP.
+fn check_file_is_not_ahead(path: &Path, held: &Zone) -> Result<(), ResponseCode> {
+    match zone_file::read(path) {
+        Ok(zone) if replaces(&zone, held) => {
+            let (path, serial) = (path.display(), zone.serial());
+            log::error!("dns: update refused: {path} has serial {serial}, which waits for SIGHUP");
+            Err(ResponseCode::ServFail)
+        }
+        Ok(_) => Ok(()),
+        Err(e) if e.is_not_found() => Ok(()),
+        Err(e) => {
+            log::error!("dns: update refused: {e}");
+            Err(ResponseCode::ServFail)
+        }
+    }
+}
+
 fn log_cached(written: Result<(), ZoneCacheError>) {
     if let Err(e) = written {
         log::warn!("state: {e}; a restart relies on the zone file alone");
--- a/tests/sockets/start_files.rs
+++ b/tests/sockets/start_files.rs
@@ -1,8 +1,10 @@
 //! Starts with a file that cannot be used, or is older than what was in use.
 
-use crate::dns_only::{zone, Site};
+use crate::dns_only::{name, zone, Site};
 use crate::program::PATIENCE;
 use crate::rig::{message, Answer, End, Heard, Message, Wire};
+use hickory_proto::op::{update_message, ResponseCode};
+use hickory_proto::rr::RecordSet;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -211,3 +213,26 @@
         site.providers.check();
     }
 }
+
+#[test]
+fn an_update_never_writes_over_a_file_that_waits_for_sighup() {
+    let mut site = Site::start();
+    let update = || {
+        let origin = name("x.example.");
+        update_message::delete_by_rdata(RecordSet::from(site.srv(0)), origin, false)
+    };
+    let newer = zone(9, &[("p", site.addresses[0]), ("q", site.addresses[1])]);
+    let half = newer[..newer.len() / 2].to_string();
+    for waiting in [half, newer] {
+        fs::write(site.file(), &waiting).expect("written");
+        assert_eq!(site.update(update()), ResponseCode::ServFail);
+        let kept = fs::read_to_string(site.file()).expect("a file");
+        assert_eq!(kept, waiting);
+    }
+    let update = update();
+    site.program.signal("HUP");
+    site.program.says("at serial 9");
+    assert_eq!(site.update(update), ResponseCode::NoError);
+    assert_eq!(site.used(&["m1", "m2"]), ["q", "q"]);
+    site.providers.check();
+}
