Bound what one function call of a script may make

What operators saw: one replace of 16,000 characters by 16,000 took 363 ms and 505 MB, which is over a sender's memory; pad by an empty text never returned. Cause: the script library checks the size of a value after it has been made, and no bound on operations cuts one short. replace, pad, split, split_rev and to_chars now check the size before; their results are the library's (results_are_those_of_the_library). curry, whose arguments no size limit counts, is not offered.

--- a/src/delivery/script_hook.rs
+++ b/src/delivery/script_hook.rs
@@ -10,6 +10,8 @@
 //! The names in scripts (`ingress`, `final_answer`, `reject_ms`, `notes`, `left_ms`, `again_ms`
 //! and the message's fields) are an interface for operators and must not change.
 
+mod bounded_text;
+
 use crate::delivery::{Envelope, Verdict};
 use rhai::packages::{
     ArithmeticPackage, BasicArrayPackage, BasicIteratorPackage, BasicMapPackage,
@@ -176,8 +178,9 @@
     BasicIteratorPackage::new().register_into_engine(&mut engine);
     BasicArrayPackage::new().register_into_engine(&mut engine);
     BasicMapPackage::new().register_into_engine(&mut engine);
+    bounded_text::register(&mut engine);
     engine.register_fn("log", |text: ImmutableString| log::info!("hook: {text}"));
-    for symbol in ["eval", "import", "export"] {
+    for symbol in ["eval", "import", "export", "curry"] {
         engine.disable_symbol(symbol);
     }
     engine.set_max_operations(MAX_STEPS);
