--- a/src/main.rs
+++ b/src/main.rs
@@ -32,6 +32,7 @@
 use raildeal::net::calls::Calls;
 use raildeal::net::connection_listener::{ConnectionListener, WhenFull};
 use raildeal::net::dns::server::UpdatePort;
+use raildeal::net::dns::zone_cache::ZoneCache;
 use raildeal::net::dns::zones::Zones;
 use raildeal::net::mqtt::brokers::Publisher;
 use raildeal::net::mqtt::ingress::Port;
@@ -158,6 +159,18 @@
     }
 }
 
+/// Returns the zone that is the directory, if one is configured.
+fn open_zones(config: &Config, owes_answers: bool) -> Result<Option<Rc<Zones>>, String> {
+    let Some(dns) = &config.dns else {
+        ZoneCache::remove_unused(&config.state)
+            .unwrap_or_else(|e| log::warn!("state: not removed: {e}"));
+        return Ok(None);
+    };
+    Zones::open(&dns.zone_file, config.zone_cache(dns), owes_answers)
+        .map(Some)
+        .map_err(|e| e.to_string())
+}
+
 /// What no client can know.
 fn salt() -> u64 {
     RandomState::new().build_hasher().finish()
@@ -545,12 +558,7 @@
             watch,
         }),
     );
-    let zones = config
-        .dns
-        .as_ref()
-        .map(|d| Zones::open(&d.zone_file, config.zone_cache(d), owes_answers))
-        .transpose()
-        .map_err(|e| e.to_string())?;
+    let zones = open_zones(&config, owes_answers)?;
     let discovery = config
         .platform
         .as_ref()
--- a/src/net/dns/zone_cache.rs
+++ b/src/net/dns/zone_cache.rs
@@ -132,6 +132,17 @@
         Ok(())
     }
 
+    /// Removes the copy of a folder whose process has no zone, so that the journal has its room.
+    ///
+    /// # Errors
+    /// The file system fails.
+    pub fn remove_unused(folder: &Path) -> Result<(), ZoneCacheError> {
+        match fs::remove_file(folder.join(FILE_NAME)) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e.into()),
+            _ => Ok(()),
+        }
+    }
+
     fn note_use(&self) -> Result<(), ZoneCacheError> {
         let file = File::options().write(true).open(self.path())?;
         file.set_modified(SystemTime::now())?;
--- a/src/net/dns/zone_cache/tests.rs
+++ b/src/net/dns/zone_cache/tests.rs
@@ -68,6 +68,15 @@
     assert!(!unfinished_path(&cache.path()).exists());
 }
 
+#[test]
+fn a_copy_that_no_zone_uses_takes_no_room() {
+    let folder = TempDir::new().expect("a folder");
+    cache(&folder).write(&zone(7)).expect("written");
+    ZoneCache::remove_unused(folder.path()).expect("removed");
+    ZoneCache::remove_unused(folder.path()).expect("nothing to remove");
+    assert!(matches!(read(&cache(&folder)), Ok(None)));
+}
+
 #[test]
 fn a_copy_of_another_zone_file_is_not_used() {
     let folder = TempDir::new().expect("a folder");
