Make system calls fail on arm64 too, and fail a test whose fault library is not loaded

Cause: the fault library was compiled for x86-64 alone. On arm64 it became a library without a function, was loaded, and nothing failed: the soak and the tests of signals, wall clocks and half writes ran without any of their faults and passed for that reason.

Change: numbers of calls and forms of structs come from libc. The library notes the number of the process that it has taken its place in; the harness and the tests check that number once the process serves, also after each restart of a soak.

--- a/test-harness/examples/fault_shim.rs
+++ b/test-harness/examples/fault_shim.rs
@@ -5,61 +5,14 @@
 //! what is not to fail. What fails is read from a file that [`CONTROL_VARIABLE`] names, which
 //! [`raildeal_test_harness::syscall_faults`] writes.
 //!
-//! Linux on x86-64 alone: the numbers of the calls stand here.
-//!
 //! The monotonic clock is never touched, and neither is what the process writes to its log.
 
-#![cfg(all(target_os = "linux", target_arch = "x86_64"))]
-
+use libc::{c_int, c_void, syscall, timespec};
 use raildeal_test_harness::syscall_faults::{Field, CONTROL_BYTES, CONTROL_VARIABLE};
-use std::ffi::{c_char, c_int, c_long, c_void, CString};
+use std::ffi::CString;
 use std::sync::atomic::{AtomicI64, AtomicPtr, AtomicU64, Ordering};
 
-const CLOCK_REALTIME: c_int = 0;
-const EINTR: i64 = 4;
-const SIGKILL: c_int = 9;
-const PROT_READ_WRITE: c_int = 3;
-const O_RDWR: c_int = 2;
-const MAP_SHARED: c_int = 1;
-const NS_PER_SECOND: i64 = 1_000_000_000;
-const FILE_TYPE_MASK: u32 = 0o170_000;
-const REGULAR_FILE: u32 = 0o100_000;
-
-const SYS_READ: c_long = 0;
-const SYS_WRITE: c_long = 1;
-const SYS_FSTAT: c_long = 5;
-const SYS_PWRITE64: c_long = 18;
-const SYS_SENDTO: c_long = 44;
-const SYS_RECVFROM: c_long = 45;
-const SYS_FSYNC: c_long = 74;
-const SYS_FDATASYNC: c_long = 75;
-const SYS_CLOCK_GETTIME: c_long = 228;
-const SYS_ACCEPT4: c_long = 288;
-
-unsafe extern "C" {
-    fn syscall(number: c_long, ...) -> c_long;
-    fn getenv(name: *const c_char) -> *const c_char;
-    fn open(path: *const c_char, flags: c_int, ...) -> c_int;
-    fn mmap(
-        at: *mut c_void,
-        length: usize,
-        protection: c_int,
-        flags: c_int,
-        file: c_int,
-        offset: i64,
-    ) -> *mut c_void;
-    fn close(file: c_int) -> c_int;
-    fn kill(process: c_int, signal: c_int) -> c_int;
-    fn getpid() -> c_int;
-    fn __errno_location() -> *mut c_int;
-}
-
-/// A time as the C library has it.
-#[repr(C)]
-pub struct Timespec {
-    seconds: i64,
-    nanos: i64,
-}
+const NANOS_PER_SECOND: i64 = 1_000_000_000;
 
 /// Where the faults are mapped; null until that is tried, and where there are none.
 static CONTROL: AtomicPtr<AtomicI64> = AtomicPtr::new(std::ptr::null_mut());
@@ -72,8 +25,14 @@
     if !mapped.is_null() {
         return mapped;
     }
-    let mapped = map_control().unwrap_or(NOTHING.as_ptr().cast_mut());
+    let Some(mapped) = map_control() else {
+        let nothing = NOTHING.as_ptr().cast_mut();
+        CONTROL.store(nothing, Ordering::Release);
+        return nothing;
+    };
     CONTROL.store(mapped, Ordering::Release);
+    // SAFETY: the mapping was just made, and holds more numbers than there are fields.
+    unsafe { &*mapped.add(Field::LoadedBy as usize) }.store(process(), Ordering::Relaxed);
     mapped
 }
 
@@ -81,21 +40,33 @@
     let name = CString::new(CONTROL_VARIABLE).ok()?;
     // SAFETY: the name ends with a zero byte; the path that comes back is only read.
     unsafe {
-        let path = getenv(name.as_ptr());
+        let path = libc::getenv(name.as_ptr());
         if path.is_null() {
             return None;
         }
-        let file = open(path, O_RDWR);
+        let file = libc::open(path, libc::O_RDWR);
         if file < 0 {
             return None;
         }
-        let null = std::ptr::null_mut();
-        let mapped = mmap(null, CONTROL_BYTES, PROT_READ_WRITE, MAP_SHARED, file, 0);
-        close(file);
-        (mapped as isize != -1).then_some(mapped.cast())
+        let mapped = libc::mmap(
+            std::ptr::null_mut(),
+            CONTROL_BYTES,
+            libc::PROT_READ | libc::PROT_WRITE,
+            libc::MAP_SHARED,
+            file,
+            0,
+        );
+        libc::close(file);
+        (mapped != libc::MAP_FAILED).then_some(mapped.cast())
     }
 }
 
+/// The number of this process.
+fn process() -> i64 {
+    // SAFETY: it takes nothing and cannot fail.
+    i64::from(unsafe { libc::getpid() })
+}
+
 fn field(field: Field) -> &'static AtomicI64 {
     // SAFETY: the mapping holds more numbers than there are fields, and is never undone.
     unsafe { &*control().add(field as usize) }
@@ -120,7 +91,7 @@
 
 fn fails(errno: i64) -> isize {
     // SAFETY: the C library's own place for this thread.
-    unsafe { *__errno_location() = errno as c_int };
+    unsafe { *libc::__errno_location() = errno as c_int };
     -1
 }
 
@@ -137,11 +108,15 @@
 }
 
 fn is_regular(file: c_int) -> bool {
-    let mut stat = [0u32; 64];
-    // SAFETY: 256 bytes are more than the kernel writes; the mode stands behind three words of
-    // eight bytes.
-    let found = unsafe { syscall(SYS_FSTAT, file, stat.as_mut_ptr()) } == 0;
-    found && stat[6] & FILE_TYPE_MASK == REGULAR_FILE
+    let mut stat = std::mem::MaybeUninit::<libc::stat>::zeroed();
+    // SAFETY: the place is as large as the C library says, and all zeroes are a value of it.
+    let (found, stat) = unsafe {
+        (
+            libc::fstat(file, stat.as_mut_ptr()) == 0,
+            stat.assume_init(),
+        )
+    };
+    found && stat.st_mode & libc::S_IFMT == libc::S_IFREG
 }
 
 /// A write to a file, passed on by `write` with the bytes that are to be written.
@@ -150,7 +125,7 @@
         write(length / 2);
         field(Field::KilledInWrite).store(1, Ordering::Relaxed);
         // SAFETY: ends this process, as it was told.
-        unsafe { kill(getpid(), SIGKILL) };
+        unsafe { libc::kill(libc::getpid(), libc::SIGKILL) };
     }
     if let Some(errno) = disk_error() {
         return fails(errno);
@@ -164,7 +139,7 @@
 /// A read or write of a socket, passed on with the bytes that may be used.
 fn use_socket(length: usize, call: impl Fn(usize) -> isize) -> isize {
     if draws(Field::InterruptPermille) {
-        return fails(EINTR);
+        return fails(libc::EINTR.into());
     }
     if length > 1 && draws(Field::ShortSocketPermille) {
         return call(1);
@@ -177,13 +152,13 @@
 /// # Safety
 /// As the C library's function of this name.
 #[unsafe(no_mangle)]
-pub unsafe extern "C" fn clock_gettime(clock: c_int, time: *mut Timespec) -> c_int {
-    let read = unsafe { syscall(SYS_CLOCK_GETTIME, clock, time) } as c_int;
-    if read == 0 && clock == CLOCK_REALTIME {
+pub unsafe extern "C" fn clock_gettime(clock: c_int, time: *mut timespec) -> c_int {
+    let read = unsafe { syscall(libc::SYS_clock_gettime, clock, time) } as c_int;
+    if read == 0 && clock == libc::CLOCK_REALTIME {
         let time = unsafe { &mut *time };
-        let nanos = time.nanos + value(Field::WallClockAheadNs);
-        time.seconds += nanos.div_euclid(NS_PER_SECOND);
-        time.nanos = nanos.rem_euclid(NS_PER_SECOND);
+        let nanos = time.tv_nsec + value(Field::WallClockAheadNs);
+        time.tv_sec += nanos.div_euclid(NANOS_PER_SECOND);
+        time.tv_nsec = nanos.rem_euclid(NANOS_PER_SECOND);
     }
     read
 }
@@ -200,7 +175,7 @@
     at: i64,
 ) -> isize {
     write_file(length, |length| unsafe {
-        syscall(SYS_PWRITE64, file, bytes, length, at) as isize
+        syscall(libc::SYS_pwrite64, file, bytes, length, at) as isize
     })
 }
 
@@ -210,7 +185,7 @@
 /// As the C library's function of this name.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn write(file: c_int, bytes: *const c_void, length: usize) -> isize {
-    let pass_on = |length: usize| unsafe { syscall(SYS_WRITE, file, bytes, length) as isize };
+    let pass_on = |length: usize| unsafe { syscall(libc::SYS_write, file, bytes, length) as isize };
     if is_regular(file) {
         write_file(length, pass_on)
     } else {
@@ -226,9 +201,9 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn read(file: c_int, into: *mut c_void, length: usize) -> isize {
     if !is_regular(file) && draws(Field::InterruptPermille) {
-        return fails(EINTR);
+        return fails(libc::EINTR.into());
     }
-    unsafe { syscall(SYS_READ, file, into, length) as isize }
+    unsafe { syscall(libc::SYS_read, file, into, length) as isize }
 }
 
 /// Syncs a file.
@@ -239,7 +214,7 @@
 pub unsafe extern "C" fn fsync(file: c_int) -> c_int {
     match disk_error() {
         Some(errno) => fails(errno) as c_int,
-        None => unsafe { syscall(SYS_FSYNC, file) as c_int },
+        None => unsafe { syscall(libc::SYS_fsync, file) as c_int },
     }
 }
 
@@ -251,7 +226,7 @@
 pub unsafe extern "C" fn fdatasync(file: c_int) -> c_int {
     match disk_error() {
         Some(errno) => fails(errno) as c_int,
-        None => unsafe { syscall(SYS_FDATASYNC, file) as c_int },
+        None => unsafe { syscall(libc::SYS_fdatasync, file) as c_int },
     }
 }
 
@@ -270,7 +245,7 @@
     if errno != 0 && draws(Field::AcceptPermille) {
         return fails(errno) as c_int;
     }
-    unsafe { syscall(SYS_ACCEPT4, socket, address, length, flags) as c_int }
+    unsafe { syscall(libc::SYS_accept4, socket, address, length, flags) as c_int }
 }
 
 /// Reads from a socket.
@@ -286,7 +261,7 @@
 ) -> isize {
     use_socket(length, |length| unsafe {
         let null = std::ptr::null_mut::<c_void>();
-        syscall(SYS_RECVFROM, socket, into, length, flags, null, null) as isize
+        syscall(libc::SYS_recvfrom, socket, into, length, flags, null, null) as isize
     })
 }
 
@@ -303,6 +278,6 @@
 ) -> isize {
     use_socket(length, |length| unsafe {
         let null = std::ptr::null::<c_void>();
-        syscall(SYS_SENDTO, socket, bytes, length, flags, null, 0u32) as isize
+        syscall(libc::SYS_sendto, socket, bytes, length, flags, null, 0u32) as isize
     })
 }
--- a/test-harness/src/sender.rs
+++ b/test-harness/src/sender.rs
@@ -201,7 +201,7 @@
             .wait_timeout_while(seen, PATIENCE, silent)
             .unwrap_or_else(|e| e.into_inner());
         match seen.address {
-            Some(_) => Ok(()),
+            Some(_) => self.check_faults(),
             None => Err(NoSender::Silent(
                 self.name.clone(),
                 PATIENCE,
@@ -210,6 +210,15 @@
         }
     }
 
+    /// Checks that its system calls can be made to fail, where it was started for that.
+    fn check_faults(&self) -> Result<(), NoSender> {
+        let (Some(faults), Some(child)) = (&self.faults, &self.child) else {
+            return Ok(());
+        };
+        let loaded = faults.check_loaded(child.id());
+        loaded.map_err(|e| NoSender::Io(self.program.clone(), e))
+    }
+
     /// What it logs.
     pub fn log(&self) -> Arc<Log> {
         self.log.clone()
--- a/test-harness/src/soak.rs
+++ b/test-harness/src/soak.rs
@@ -189,6 +189,7 @@
         let is_up = self.sender.log().listens();
         if let Some(restart) = self.restarts.last_mut().filter(|_| self.pending.is_empty()) {
             if is_up && restart.ready_at.is_none() {
+                self.sender.listens()?;
                 restart.ready_at = Some(now);
             }
         }
--- a/test-harness/src/syscall_faults.rs
+++ b/test-harness/src/syscall_faults.rs
@@ -40,6 +40,8 @@
     Seed,
     /// Set by the library once the process was killed in a write.
     KilledInWrite,
+    /// The number of the process that the library has taken its place in.
+    LoadedBy,
 }
 
 /// Errors of some calls, and how many of a thousand have them.
@@ -89,6 +91,22 @@
         ]
     }
 
+    /// Checks that the library has taken its place in a process that has begun to serve: without it
+    /// no call would fail, and whatever is tested under faults would pass.
+    ///
+    /// # Errors
+    /// The file cannot be read, or the library is not in that process.
+    pub fn check_loaded(&self, process: u32) -> io::Result<()> {
+        let loaded = self.get(Field::LoadedBy)?;
+        if loaded == i64::from(process) {
+            return Ok(());
+        }
+        Err(io::Error::other(format!(
+            "{}: not loaded by process {process}; no call of it fails",
+            self.library.display()
+        )))
+    }
+
     /// The wall clock is so many milliseconds ahead of the machine's, or behind it.
     ///
     /// # Errors
--- a/tests/multi_process/signals.rs
+++ b/tests/multi_process/signals.rs
@@ -458,6 +458,10 @@
         );
     }
 
+    faults
+        .check_loaded(process.0.id())
+        .expect("the fault library");
+
     let told_at = Instant::now();
     faults.sockets(interrupted, short).expect("written");
     process.send(Signal::TERM);
--- a/tests/sockets/clock_steps.rs
+++ b/tests/sockets/clock_steps.rs
@@ -60,6 +60,8 @@
     let mut command = Program::command();
     command.arg(rig.config_file()).envs(faults.environment());
     rig.started(Program::spawn(&mut command));
+    let loaded = faults.check_loaded(rig.program.pid());
+    loaded.expect("the library for faults");
 }
 
 #[test]
@@ -87,3 +89,15 @@
     stepped.rig.program.says("m1: p Delivered");
     stepped.rig.finish(&["m1"]);
 }
+
+/// Guards against a test under faults that passes because none of them was ever made.
+#[test]
+fn a_process_without_the_library_for_faults_fails_the_test_that_asked_for_it() {
+    let control = TempDir::new().expect("a folder");
+    let faults = SyscallFaults::new(control.path(), 1).expect("the library for faults");
+    let rig = Rig::<Http>::start(&[("p", "a")]);
+
+    assert!(faults.check_loaded(rig.program.pid()).is_err());
+
+    rig.finish(&[]);
+}
--- a/tests/sockets/last_words.rs
+++ b/tests/sockets/last_words.rs
@@ -39,6 +39,8 @@
         let mut command = Program::command();
         command.arg(rig.config_file()).envs(faults.environment());
         rig.started(Program::spawn(&mut command));
+        let loaded = faults.check_loaded(rig.program.pid());
+        loaded.expect("the library for faults");
         Faulty {
             rig,
             faults,
