Bound the memory of requests that are being read by the limit of the settings

What callers saw: with hundreds of clients that stopped within a long body, sent it slowly or never ended a head, a process with memory_mb 32 and 1,024 descriptors went far over its limit and was killed.

Cause: memory_mb was read by nothing. Each of about 330 connections was bounded by itself (a buffer that doubles, a second copy of the body, 8 KiB in each waiting task, 64 KiB for each connection that parts), and nothing bounded their sum. Buffers kept their room while their connections rested.

Change: one budget splits the limit, as descriptor_budget does for descriptors. What is left beside connections, calls, messages and the folder is one pool for requests that are being read. Each connection may use 4 KiB without it, so that usual messages never wait for long ones; a quarter is for known clients. One for whom there is no memory is told 503 with Retry-After (MQTT 0x97) as soon as its length is known; one that holds memory for 400 ms for a request that is not whole is closed when others are refused. Bodies are not copied, nothing is kept of endpoints' bodies, reads keep no room in waiting tasks, buffers are returned while connections rest. HTTP, MQTT and DNS updates use the same stream and pool. The log tells of memory, and of connections by use.

--- a/src/admission_control/connection_slots.rs
+++ b/src/admission_control/connection_slots.rs
@@ -377,6 +377,20 @@
         self.places.get(&no).is_some_and(|p| p.known)
     }
 
+    /// What a place is used for.
+    pub fn what(&self, no: u64) -> Option<Use> {
+        self.places.get(&no).map(|p| p.what)
+    }
+
+    /// How many places are used for what, in the order of [`Use`].
+    pub fn counts(&self) -> BTreeMap<Use, usize> {
+        let mut counts = BTreeMap::new();
+        for place in self.places.values() {
+            *counts.entry(place.what).or_default() += 1;
+        }
+        counts
+    }
+
     /// Whose a place is.
     pub fn address(&self, no: u64) -> Option<IpAddr> {
         self.places.get(&no).map(|p| p.address)
--- a/src/admission_control/mod.rs
+++ b/src/admission_control/mod.rs
@@ -7,4 +7,6 @@
 pub mod connection_rate;
 pub mod connection_slots;
 pub mod descriptor_budget;
+pub mod memory_budget;
+pub mod memory_pool;
 pub mod message_limits;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -31,6 +31,8 @@
 
 /// Clocks may be so many seconds apart where updates are signed.
 const FUDGE_S: u16 = 300;
+/// With less memory, no process of this program could serve.
+const MIN_MEMORY_BYTES: usize = 16_000_000;
 /// How long a final answer waits for its client, if the operator says nothing.
 const KEEP_ANSWERS_S: u64 = 600;
 
@@ -45,6 +47,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may hold, in bytes; over it, it is killed.
+    pub memory_bytes: usize,
     /// The store in that folder, if nothing else needs room there.
     pub store: JournalOptions,
     /// Settings of module and deployment.
@@ -397,6 +401,7 @@
 #[serde(deny_unknown_fields, default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
     disk_mb: f64,
 }
 
@@ -448,11 +453,17 @@
     fn default() -> Self {
         Limits {
             sockets: 1024,
+            memory_mb: 192.0,
             disk_mb: 3.0,
         }
     }
 }
 
+/// The bytes of so many megabytes.
+fn bytes(mb: f64) -> usize {
+    (mb * 1e6) as usize
+}
+
 fn keep_answers_s() -> u64 {
     KEEP_ANSWERS_S
 }
@@ -519,6 +530,7 @@
             state: word("NODE_STATE", "state")?.into(),
             seed: seed(json.get("seed")).ok_or("seed: not a hexadecimal number")?,
             sockets: limit("sockets", Limits::default().sockets as f64)? as usize,
+            memory_bytes: bytes(limit("memory_mb", Limits::default().memory_mb)?),
             store: JournalOptions::new((limit("disk_mb", Limits::default().disk_mb)? * 1e6) as u64),
             deployment: platform_settings::from_json(settings)?,
             columns: columns(settings),
@@ -569,6 +581,7 @@
             state: file.state,
             seed: file.seed,
             sockets: file.limits.sockets,
+            memory_bytes: bytes(file.limits.memory_mb),
             store,
             columns: columns(&file.settings),
             known: (!file.provider.is_empty()).then(|| providers(file.provider)),
@@ -631,6 +644,10 @@
         if self.sockets < 16 {
             fault("limits.sockets", format!("{} are too few", self.sockets));
         }
+        if self.memory_bytes < MIN_MEMORY_BYTES {
+            let bytes = self.memory_bytes;
+            fault("limits.memory_mb", format!("{bytes} bytes are too few"));
+        }
         if let Some(brokers) = &self.brokers {
             for kind in brokers.kinds.iter().filter(|k| !kinds.contains(k)) {
                 fault("brokers.kinds", format!("settings.kinds has no '{kind}'"));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod durable_file;
 pub mod log_filter;
 pub mod loop_latency;
+pub mod memory_report;
 pub mod message_trace;
 pub mod net;
 pub mod process_signals;
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,8 @@
 use futures_lite::{Future, FutureExt};
 use raildeal::admission_control::connection_slots::Rules;
 use raildeal::admission_control::descriptor_budget::Budget;
+use raildeal::admission_control::memory_budget::{Demand, MemoryBudget};
+use raildeal::admission_control::memory_pool::MemoryPool;
 use raildeal::config::{script, Config, Updates};
 use raildeal::delivery::client_quota::ClientQuotas;
 use raildeal::delivery::driver::{DispatcherDriver, DriverEffects};
@@ -28,6 +30,7 @@
 use raildeal::dispatch::list_polling;
 use raildeal::log_filter::with_present_paths;
 use raildeal::loop_latency::LoopLatency;
+use raildeal::memory_report::MemoryReport;
 use raildeal::net::by_kind::ByKind;
 use raildeal::net::calls::Calls;
 use raildeal::net::connection_listener::{ConnectionListener, WhenFull};
@@ -240,6 +243,24 @@
     budget
 }
 
+/// Who may hold how much of the memory that is told.
+fn memory_budget(config: &Config, descriptors: &Budget) -> MemoryBudget {
+    let demand = Demand {
+        connections: descriptors.clients,
+        calls: descriptors.calls,
+        messages: config.deployment.settings.max_held_messages as usize,
+        state_folder_bytes: config.journal_options().limit_bytes as usize,
+    };
+    let budget = MemoryBudget::split(config.memory_bytes, demand);
+    if budget.is_short {
+        log::warn!(
+            "limits.memory_mb: {} bytes may not be enough for {demand:?}",
+            budget.limit_bytes
+        );
+    }
+    budget
+}
+
 /// Those who call providers, by the wire that they speak.
 fn providers(config: &Config, budget: &Budget, wheel: &Rc<TimerWheel>) -> Rc<ByKind> {
     let deployment = &config.deployment;
@@ -547,6 +568,8 @@
     settings.restart_state = known_from_before(&config, &clock);
     let (tended, synced, ended) = (journal.clone(), journal.clone(), journal.clone());
     let budget = budget(&config);
+    let memory = memory_budget(&config, &budget);
+    let reading = MemoryPool::new(memory.reading_bytes);
     let invoker = providers(&config, &budget, &wheel);
     let relay = Dispatcher::new(settings.clone(), config.seed).map_err(|e| e.to_string())?;
     let (watch, asked) = async_channel::bounded(1);
@@ -678,8 +701,19 @@
         door.rules(budget.clients),
         budget.lobby,
         door.when_full,
+        reading.clone(),
         config.seed,
     );
+    keep(&executor, seats.clone().reclaim_memory(wheel.clone()));
+    let memory_report = MemoryReport {
+        limit_bytes: memory.limit_bytes,
+        reading: reading.clone(),
+        connections: seats.clone(),
+    };
+    keep(
+        &executor,
+        memory_report.run(door.log_every(), wheel.clone()),
+    );
     fleet.start(&Wired {
         config: &config,
         settings: &settings,
@@ -722,7 +756,14 @@
             signer,
             wheel: wheel.clone(),
         });
-        let seats = ConnectionListener::new(Rules::open(UPDATERS), 1, WhenFull::Queue, config.seed);
+        let seats = ConnectionListener::new(
+            Rules::open(UPDATERS),
+            1,
+            WhenFull::Queue,
+            reading,
+            config.seed,
+        );
+        keep(&executor, seats.clone().reclaim_memory(wheel.clone()));
         listening.push(executor.spawn(seats.listen(listener, updates, wheel.clone(), run)));
     }
     let reloading = driver.clone();
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -182,11 +182,13 @@
                 return link.stream.try_send(self.dialect.farewell());
             }
         }
-        let mut idle = self.idle.borrow_mut();
-        idle.entry(provider).or_default().push(Link {
+        let mut link = Link {
             since: Instant::now(),
             ..link
-        });
+        };
+        link.stream.release();
+        let mut idle = self.idle.borrow_mut();
+        idle.entry(provider).or_default().push(link);
     }
 
     async fn connect(&self, address: SocketAddr) -> io::Result<Link> {
--- a/src/net/connection_listener.rs
+++ b/src/net/connection_listener.rs
@@ -8,6 +8,7 @@
 
 use crate::admission_control::accept_queue::{Comes, Lobby, Rank};
 use crate::admission_control::connection_slots::{Places, Rules, Seating, Use, Why};
+use crate::admission_control::memory_pool::{MemoryHold, MemoryPool};
 use crate::delivery::client_quota::{Client, ClientQuotas};
 use crate::delivery::timer_wheel::TimerWheel;
 use crate::net::socket_error::{is_of_one_connection, is_out_of_descriptors};
@@ -42,6 +43,11 @@
 /// Connections that wait to be accepted; more are turned away by the system, and come back only
 /// after a second.
 const BACKLOG: i32 = 1024;
+/// One who holds memory for a request that has not come whole gives it up after this time, if others
+/// are refused meanwhile: no client waits longer for an answer.
+const MEMORY_PATIENCE: Duration = Duration::from_millis(400);
+/// Who has to is looked at no more often than this.
+const MEMORY_LOOK: Duration = Duration::from_millis(50);
 
 /// What a port does with its connections.
 pub trait Serve {
@@ -98,6 +104,35 @@
     /// Given up for a moment when there is no other descriptor to accept with.
     held_back: RefCell<Option<File>>,
     told: RefCell<BTreeMap<String, u64>>,
+    /// What all connections may hold together of requests that have begun.
+    memory: Rc<MemoryPool>,
+    /// What each of them holds, by place.
+    holds: RefCell<BTreeMap<u64, WatchedHold>>,
+}
+
+/// What a connection holds, and since when it was seen to hold that for one message.
+struct WatchedHold {
+    memory: Rc<MemoryHold>,
+    seen: Option<SeenHold>,
+}
+
+/// A hold as it was seen first.
+struct SeenHold {
+    releases: u64,
+    at: Instant,
+}
+
+impl WatchedHold {
+    /// Since when it is held for the same message; `None` where nothing is held.
+    fn held_since(&mut self, now: Instant) -> Option<Instant> {
+        let releases = self.memory.releases();
+        if self.memory.bytes() == 0 {
+            self.seen = None;
+        } else if self.seen.as_ref().is_none_or(|s| s.releases != releases) {
+            self.seen = Some(SeenHold { releases, at: now });
+        }
+        self.seen.as_ref().map(|s| s.at)
+    }
 }
 
 type Waits = (Rc<Async<TcpStream>>, IpAddr, Sender<()>);
@@ -144,9 +179,16 @@
     left: Receiver<()>,
     /// When the first bytes of its connection were seen, where that was before it had this place.
     brought_at: Cell<Option<Instant>>,
+    /// What its connection holds of requests.
+    memory: Rc<MemoryHold>,
 }
 
 impl Seat {
+    /// The part of the memory that its connection may use.
+    pub fn memory(&self) -> Rc<MemoryHold> {
+        self.memory.clone()
+    }
+
     /// When the connection's first request was seen to come, if it waited for its place since. Said
     /// once: later requests are read as they come.
     pub fn take_brought_at(&self) -> Option<Instant> {
@@ -209,6 +251,7 @@
 
     /// Whoever this is, it is one of the known clients.
     pub fn identified(&self) {
+        self.memory.set_known();
         self.seats.places.borrow_mut().identified(self.no);
     }
 }
@@ -217,13 +260,20 @@
     fn drop(&mut self) {
         self.seats.places.borrow_mut().left(self.no);
         self.seats.leave.borrow_mut().remove(&self.no);
+        self.seats.holds.borrow_mut().remove(&self.no);
         self.seats.freed.notify(usize::MAX);
     }
 }
 
 impl ConnectionListener {
     /// Places by these rules, with so many in the lobby at most.
-    pub fn new(rules: Rules, lobby: usize, when_full: WhenFull, seed: u64) -> Rc<Self> {
+    pub fn new(
+        rules: Rules,
+        lobby: usize,
+        when_full: WhenFull,
+        memory: Rc<MemoryPool>,
+        seed: u64,
+    ) -> Rc<Self> {
         Rc::new(ConnectionListener {
             places: RefCell::new(Places::new(rules)),
             leave: RefCell::default(),
@@ -237,6 +287,8 @@
             rng: RefCell::new(fastrand::Rng::with_seed(seed)),
             held_back: RefCell::new(File::open("/dev/null").ok()),
             told: RefCell::default(),
+            memory,
+            holds: RefCell::default(),
         })
     }
 
@@ -293,6 +345,35 @@
         }
     }
 
+    /// Ends connections that have held memory for too long for a request that has not come whole,
+    /// whenever others are refused; runs for ever.
+    pub async fn reclaim_memory(self: Rc<Self>, wheel: Rc<TimerWheel>) {
+        loop {
+            self.memory.next_refusal().await;
+            self.end_long_holds(Instant::now());
+            wheel.sleep(MEMORY_LOOK).await;
+        }
+    }
+
+    fn end_long_holds(&self, now: Instant) {
+        let places = self.places.borrow();
+        for (no, hold) in self.holds.borrow_mut().iter_mut() {
+            let Some(since) = hold.held_since(now) else {
+                continue;
+            };
+            // An answer is owed for what has come whole.
+            let is_owed = places.what(*no) == Some(Use::Busy);
+            if is_owed || now - since < MEMORY_PATIENCE {
+                continue;
+            }
+            let is_told = self.leave.borrow().get(no).is_some_and(Sender::close);
+            if is_told {
+                log::debug!("door: place {no} ended, {} bytes", hold.memory.bytes());
+                self.count("shed (memory)".into());
+            }
+        }
+    }
+
     /// Tells the log now and then what the door did with connections and messages; runs for ever.
     pub async fn tell(
         self: Rc<Self>,
@@ -325,6 +406,11 @@
         }
     }
 
+    /// How many connections are used for what.
+    pub fn counts_by_use(&self) -> BTreeMap<Use, usize> {
+        self.places.borrow().counts()
+    }
+
     fn count(&self, what: String) {
         *self.told.borrow_mut().entry(what).or_default() += 1;
     }
@@ -359,11 +445,22 @@
                 self.count("admitted".into());
                 let (leave, left) = async_channel::bounded(1);
                 self.leave.borrow_mut().insert(no, leave);
+                let memory = self.memory.hold();
+                if self.places.borrow().is_known(no) {
+                    memory.set_known();
+                }
+                let memory = Rc::new(memory);
+                let watched = WatchedHold {
+                    memory: memory.clone(),
+                    seen: None,
+                };
+                self.holds.borrow_mut().insert(no, watched);
                 Ok(Rc::new(Seat {
                     seats: self.clone(),
                     no,
                     left,
                     brought_at: Cell::default(),
+                    memory,
                 }))
             }
             Seating::After(no) => {
--- a/src/net/dns/server.rs
+++ b/src/net/dns/server.rs
@@ -18,6 +18,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Bytes of the length before each message.
+const LENGTH: usize = 2;
 /// Bytes of a message's header.
 const HEADER: usize = 12;
 /// A connection without a message is closed after this time.
@@ -137,7 +139,7 @@
     }
 
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
-        let mut stream = Stream::new(socket);
+        let mut stream = Stream::bounded(socket, seat.memory());
         while let Some(Ok(Some(message))) = self.wheel.timeout(IDLE, read(&mut stream)).await {
             seat.busy();
             let Some(answer) = self.answer(&message).await else {
@@ -164,14 +166,14 @@
 
 /// Reads one message off a connection; nothing at its end.
 async fn read(stream: &mut Stream) -> io::Result<Option<Vec<u8>>> {
+    stream.release();
     loop {
-        if let Some((length, rest)) = stream.buf.split_first_chunk::<2>() {
-            let length = usize::from(u16::from_be_bytes(*length));
-            if let Some(message) = rest.get(..length) {
-                let message = message.to_vec();
-                stream.buf.drain(..2 + length);
-                return Ok(Some(message));
+        if let Some(length) = stream.buf.first_chunk::<LENGTH>() {
+            let total = LENGTH + usize::from(u16::from_be_bytes(*length));
+            if stream.buf.len() >= total {
+                return Ok(Some(stream.take(total, LENGTH)));
             }
+            stream.expect(total)?;
         }
         if !stream.fill().await? {
             return Ok(None);
--- a/src/net/mqtt/ingress.rs
+++ b/src/net/mqtt/ingress.rs
@@ -95,6 +95,9 @@
                 Ok(Some(packet)) => packet,
                 Err(e) => {
                     log::debug!("mqtt: {e}");
+                    if e.kind() == io::ErrorKind::OutOfMemory {
+                        return Err(DisconnectReasonCode::QuotaExceeded);
+                    }
                     return match Bad::behind(&e) {
                         Some(Bad::TooLarge) => Err(DisconnectReasonCode::PacketTooLarge),
                         Some(_) => Err(DisconnectReasonCode::MalformedPacket),
@@ -315,7 +318,7 @@
     }
 
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
-        let mut stream = Stream::new(socket);
+        let mut stream = Stream::bounded(socket, seat.memory());
         let wheel = &self.context.wheel;
         let greeted = wheel.timeout(GREETING, read(&mut stream)).await;
         let writer = stream.writer(wheel.clone(), STUCK);
@@ -376,6 +379,9 @@
             Some(Bad::Version) => refusal(ConnectReasonCode::UnsupportedProtocolVersion),
             Some(Bad::TooLarge) => refusal(ConnectReasonCode::PacketTooLarge),
             Some(Bad::Malformed(_)) => refusal(ConnectReasonCode::MalformedPacket),
+            None if e.kind() == io::ErrorKind::OutOfMemory => {
+                refusal(ConnectReasonCode::QuotaExceeded)
+            }
             None => return,
         },
         Some(Ok(None)) | None => return,
--- a/src/net/mqtt/packets.rs
+++ b/src/net/mqtt/packets.rs
@@ -97,11 +97,15 @@
 
 /// Reads one packet off a connection; nothing at its end.
 pub async fn read(stream: &mut Stream) -> io::Result<Option<Packet>> {
+    stream.release();
     loop {
         if let Some((packet, len)) = decode(&stream.buf)? {
             stream.buf.drain(..len);
             return Ok(Some(packet));
         }
+        if let Some(total) = total_len(&stream.buf)? {
+            stream.expect(total)?;
+        }
         if !stream.fill().await? {
             return if stream.buf.is_empty() {
                 Ok(None)
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -355,31 +355,34 @@
     Err(Bad::Announced.into())
 }
 
-/// Reads the body of an answer off a connection, up to `most` bytes.
-pub async fn read_body(stream: &mut Stream, body: Body, most: usize) -> io::Result<Vec<u8>> {
-    let (mut got, mut chunks) = (Vec::new(), Chunks::default());
+/// Reads the body of an answer off a connection, up to `most` bytes, and keeps nothing of it: no
+/// body means anything here.
+pub async fn skip_body(stream: &mut Stream, body: Body, most: usize) -> io::Result<()> {
+    let (mut skipped, mut part, mut chunks) = (0, Vec::new(), Chunks::default());
     loop {
         let done = match body {
             Body::Length(n) => {
-                let more = stream.buf.len().min(n.saturating_sub(got.len()));
-                got.extend(stream.buf.drain(..more));
-                got.len() >= n
+                let more = stream.buf.len().min(n.saturating_sub(skipped));
+                part.extend(stream.buf.drain(..more));
+                skipped + part.len() >= n
             }
-            Body::Chunked => chunks.take(&mut stream.buf, &mut got)?,
+            Body::Chunked => chunks.take(&mut stream.buf, &mut part)?,
             Body::ToEnd => {
-                got.append(&mut stream.buf);
+                part.append(&mut stream.buf);
                 false
             }
         };
+        skipped += part.len();
+        part.clear();
         if done {
-            return Ok(got);
+            return Ok(());
         }
-        if got.len() > most {
+        if skipped > most {
             return Err(Bad::BodyTooLong.into());
         }
         if !stream.fill().await? {
             return if body == Body::ToEnd {
-                Ok(got)
+                Ok(())
             } else {
                 Err(io::ErrorKind::UnexpectedEof.into())
             };
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -29,6 +29,8 @@
 const STUCK: Duration = Duration::from_secs(1);
 /// How long a client that broke the protocol may go on sending before its connection is closed.
 const PARTING: Duration = Duration::from_secs(2);
+/// When one should come back for whom there is no memory: others have been answered by then.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A request that is answered with an error and ends its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -37,6 +39,8 @@
     Http(#[from] Bad),
     #[error("too slow")]
     Slow,
+    #[error("no memory")]
+    NoMemory,
     #[error("no such page")]
     NoPage,
     #[error("messages are handed in by POST")]
@@ -64,6 +68,7 @@
         match self {
             Refusal::Http(bad) => bad.status(),
             Refusal::Slow => 408,
+            Refusal::NoMemory => 503,
             Refusal::NoPage | Refusal::UnknownClass => 404,
             Refusal::NoPost => 405,
             _ => 400,
@@ -71,12 +76,18 @@
     }
 
     /// Headers that belong to the status.
-    fn headers(self) -> &'static str {
+    fn headers(self) -> String {
         match self {
-            Refusal::NoPost => "Allow: POST\r\n",
-            _ => "",
+            Refusal::NoPost => "Allow: POST\r\n".into(),
+            Refusal::NoMemory => retry_after(NO_MEMORY_RETRY_AFTER),
+            _ => String::new(),
         }
     }
+
+    /// What the end of a read means: nothing of a request where the connection ended.
+    fn of_read(e: &io::Error) -> Option<Self> {
+        (e.kind() == io::ErrorKind::OutOfMemory).then_some(Refusal::NoMemory)
+    }
 }
 
 /// A request as it was read.
@@ -129,6 +140,21 @@
         self.ending.1.close();
     }
 
+    /// Waits for the first bytes of a request; false where none comes.
+    async fn begins(&self, stream: &mut Stream) -> bool {
+        if !stream.buf.is_empty() {
+            return true;
+        }
+        let more = async { stream.fill().await.unwrap_or(false) };
+        let ending = async {
+            let _ = self.ending.1.recv().await;
+            false
+        };
+        // Reading comes first: what has arrived is answered.
+        let waited = self.context.wheel.timeout(IDLE, more.or(ending)).await;
+        waited == Some(true)
+    }
+
     /// Reads one request; nothing where the connection ended before one began.
     async fn read(
         &self,
@@ -136,17 +162,8 @@
         seat: &Seat,
     ) -> Result<Option<ReceivedRequest>, Refusal> {
         let whole = async {
-            if stream.buf.is_empty() {
-                let more = async { stream.fill().await.unwrap_or(false) };
-                let ending = async {
-                    let _ = self.ending.1.recv().await;
-                    false
-                };
-                // Reading comes first: what has arrived is answered.
-                let waited = self.context.wheel.timeout(IDLE, more.or(ending)).await;
-                if waited != Some(true) {
-                    return Ok(None);
-                }
+            if !self.begins(stream).await {
+                return Ok(None);
             }
             seat.begun();
             let begun_at = seat.take_brought_at().unwrap_or(stream.filled_at());
@@ -154,28 +171,28 @@
                 if let Some(head) = http::request(&stream.buf)? {
                     break head;
                 }
-                if !stream.fill().await.unwrap_or(false) {
+                if !fill(stream).await? {
                     return Ok(None);
                 }
             };
+            let total = len + request.length;
+            stream.expect(total).map_err(|_| Refusal::NoMemory)?;
             let waits = request
                 .headers
                 .get("expect")
                 .is_some_and(|e| e.eq_ignore_ascii_case("100-continue"));
-            if waits && stream.buf.len() < len + request.length {
+            if waits && stream.buf.len() < total {
                 let _ = stream.send(b"HTTP/1.1 100 Continue\r\n\r\n").await;
             }
-            while stream.buf.len() < len + request.length {
-                if !stream.fill().await.unwrap_or(false) {
+            while stream.buf.len() < total {
+                if !fill(stream).await? {
                     return Ok(None);
                 }
             }
-            let body = stream.buf[len..len + request.length].to_vec();
-            stream.buf.drain(..len + request.length);
             seat.busy();
             Ok(Some(ReceivedRequest {
                 head: request,
-                body,
+                body: stream.take(total, len),
                 begun_at,
             }))
         };
@@ -270,7 +287,7 @@
     }
 
     async fn serve(self: Rc<Self>, socket: Async<TcpStream>, seat: Rc<Seat>) {
-        let mut stream = Stream::new(socket);
+        let mut stream = Stream::bounded(socket, seat.memory());
         let client = seat.client();
         // Whether a message was taken on over it.
         let mut useful = false;
@@ -297,7 +314,7 @@
                     seat.begun();
                     let told = async {
                         let _ = stream
-                            .send(head(refusal.status(), refusal.headers(), false).as_bytes())
+                            .send(head(refusal.status(), &refusal.headers(), false).as_bytes())
                             .await;
                         stream.part().await;
                     };
@@ -336,6 +353,7 @@
                 Ok((again, status)) => (stream, useful) = (again, useful || status == 202),
                 Err(_) => return,
             }
+            stream.release();
             if useful {
                 seat.kept();
             } else {
@@ -345,6 +363,14 @@
     }
 }
 
+/// Reads more of a request; false where the connection has ended.
+async fn fill(stream: &mut Stream) -> Result<bool, Refusal> {
+    match stream.fill().await {
+        Ok(more) => Ok(more),
+        Err(e) => Refusal::of_read(&e).map_or(Ok(false), Err),
+    }
+}
+
 /// Reads a time left: a number and a unit, `m` milliseconds or `u` microseconds.
 pub fn remaining(text: &str) -> Option<Duration> {
     let (number, micros) = match text.strip_suffix('m') {
--- a/src/net/platform/notices.rs
+++ b/src/net/platform/notices.rs
@@ -223,7 +223,7 @@
             format!("POST /v1/notices HTTP/1.1\r\nHost: {address}\r\nContent-Length: {length}\r\n\r\n{body}");
         stream.send(request.as_bytes()).await?;
         let answer = http::read_response(&mut stream).await?;
-        http::read_body(&mut stream, answer.body, MAX_BODY_BYTES).await?;
+        http::skip_body(&mut stream, answer.body, MAX_BODY_BYTES).await?;
         if answer.keep_alive {
             self.idle.borrow_mut().push((address, stream));
         }
--- a/src/net/platform/providers.rs
+++ b/src/net/platform/providers.rs
@@ -74,11 +74,11 @@
             if !answer.keep_alive {
                 return Ok(Read::Last);
             }
-            http::read_body(stream, answer.body, MAX_BODY_BYTES).await?;
+            http::skip_body(stream, answer.body, MAX_BODY_BYTES).await?;
         } else {
             // Any other answer counts once it is whole: one that is cut short is spoilt, and its
             // message may have run.
-            http::read_body(stream, answer.body, MAX_BODY_BYTES).await?;
+            http::skip_body(stream, answer.body, MAX_BODY_BYTES).await?;
             *known = Some(meaning);
         }
         Ok(if answer.keep_alive {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,16 +1,22 @@
 //! A socket with what was read from it and not yet used.
 
+use crate::admission_control::memory_budget::FREE_BYTES;
+use crate::admission_control::memory_pool::MemoryHold;
 use crate::delivery::timer_wheel::TimerWheel;
 use async_io::Async;
 use async_lock::Mutex;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
-use std::io::{self, Write};
+use futures_lite::{future, AsyncWriteExt};
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Most bytes read and dropped on a connection that is to close.
 const LEFTOVERS: usize = 64 << 20;
+/// Most bytes taken off a socket at once.
+const READ_BYTES: usize = 8 * 1024;
+/// A buffer grows by whole multiples of so many bytes.
+const GROWTH_BYTES: usize = 2 * 1024;
 
 /// One connection.
 pub struct Stream {
@@ -18,6 +24,8 @@
     /// What was read and not yet used.
     pub buf: Vec<u8>,
     filled_at: Instant,
+    /// Bounds what others make this connection hold; nothing bounds it where its wire does.
+    memory: Option<Rc<MemoryHold>>,
 }
 
 impl Stream {
@@ -37,16 +45,87 @@
             socket: Rc::new(socket),
             buf: Vec::new(),
             filled_at: Instant::now(),
+            memory: None,
+        }
+    }
+
+    /// The same for a peer that is not trusted: beyond [`FREE_BYTES`] it holds only what its part
+    /// of the pool allows.
+    pub fn bounded(socket: Async<TcpStream>, memory: Rc<MemoryHold>) -> Self {
+        Stream {
+            memory: Some(memory),
+            ..Stream::new(socket)
         }
     }
 
     /// Reads more; false at the end of what the other side sends.
+    ///
+    /// # Errors
+    /// The connection failed, or there is no memory for more ([`io::ErrorKind::OutOfMemory`]).
     pub async fn fill(&mut self) -> io::Result<bool> {
-        let mut chunk = [0; 8192];
-        let n = read(&self.socket, &mut chunk).await?;
-        self.buf.extend_from_slice(&chunk[..n]);
-        self.filled_at = Instant::now();
-        Ok(n > 0)
+        let most = self.readable_bytes()?;
+        loop {
+            let buf = &mut self.buf;
+            let read = self.socket.read_with(|socket| read_into(socket, buf, most));
+            match read.await {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => future::yield_now().await,
+                read => {
+                    self.filled_at = Instant::now();
+                    return Ok(read? > 0);
+                }
+            }
+        }
+    }
+
+    /// How many bytes may be read now. A buffer within [`FREE_BYTES`] needs no part of the pool.
+    fn readable_bytes(&self) -> io::Result<usize> {
+        let Some(memory) = &self.memory else {
+            return Ok(READ_BYTES);
+        };
+        let held = self.buf.len();
+        let allowed = memory.bytes().max(FREE_BYTES);
+        if held < allowed {
+            return Ok(READ_BYTES.min(allowed - held));
+        }
+        memory.grow_to(held + READ_BYTES)?;
+        Ok(READ_BYTES)
+    }
+
+    /// Makes room for a message of so many bytes, which has begun to come.
+    ///
+    /// # Errors
+    /// There is no memory for it.
+    pub fn expect(&mut self, bytes: usize) -> io::Result<()> {
+        if bytes > FREE_BYTES {
+            if let Some(memory) = &self.memory {
+                memory.grow_to(bytes)?;
+            }
+        }
+        self.buf.reserve_exact(bytes.saturating_sub(self.buf.len()));
+        Ok(())
+    }
+
+    /// Takes a message of so many bytes off what was read, without its first `skipped`, and gives
+    /// the room of its buffer up with it.
+    pub fn take(&mut self, bytes: usize, skipped: usize) -> Vec<u8> {
+        let rest = self.buf[bytes..].to_vec();
+        let mut message = std::mem::replace(&mut self.buf, rest);
+        message.truncate(bytes);
+        message.drain(..skipped);
+        message.shrink_to_fit();
+        message
+    }
+
+    /// Returns what was held for the message before, as it has its answer. What was read behind it
+    /// stays.
+    pub fn release(&mut self) {
+        if self.buf.is_empty() {
+            self.buf = Vec::new();
+        }
+        if self.buf.len() <= FREE_BYTES {
+            self.buf.shrink_to(FREE_BYTES);
+            self.memory.iter().for_each(|memory| memory.release());
+        }
     }
 
     /// When it was last read from: what is in [`Stream::buf`] came then or before.
@@ -78,13 +157,17 @@
     /// Ends what this side sends and drops the rest as it comes, so that a last answer is read
     /// before the close: closed on unread bytes, a connection is reset and the answer lost. Nothing
     /// of it is kept, and others have their turn between any two reads, however fast it comes.
-    pub async fn part(self) {
+    pub async fn part(mut self) {
         let _ = self.socket.get_ref().shutdown(Shutdown::Write);
-        let (mut chunk, mut left) = (vec![0; 64 * 1024], LEFTOVERS);
-        while let Ok(n @ 1..) = read(&self.socket, &mut chunk).await {
-            left = left.saturating_sub(n);
-            if left == 0 {
-                return;
+        self.buf = Vec::new();
+        self.release();
+        let mut left = LEFTOVERS;
+        while left > 0 {
+            match self.socket.read_with(discard).await {
+                Ok(0) => return,
+                Ok(n) => left = left.saturating_sub(n),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return,
             }
             future::yield_now().await;
         }
@@ -98,15 +181,22 @@
     }
 }
 
-/// Reads once. A signal may interrupt that, which says nothing of the connection.
-async fn read(socket: &Async<TcpStream>, into: &mut [u8]) -> io::Result<usize> {
-    let mut socket = socket;
-    loop {
-        match socket.read(into).await {
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-            other => return other,
-        }
+/// Reads once, up to so many bytes. The place for them is on the stack only while it reads: kept by
+/// each task that waits, it would be held for each connection.
+fn read_into(mut socket: &TcpStream, buf: &mut Vec<u8>, most: usize) -> io::Result<usize> {
+    let mut bytes = [0; READ_BYTES];
+    let n = socket.read(&mut bytes[..most])?;
+    let needed = buf.len() + n;
+    if needed > buf.capacity() {
+        buf.reserve_exact(needed.next_multiple_of(GROWTH_BYTES) - buf.len());
     }
+    buf.extend_from_slice(&bytes[..n]);
+    Ok(n)
+}
+
+/// Reads once and keeps nothing of it.
+fn discard(mut socket: &TcpStream) -> io::Result<usize> {
+    socket.read(&mut [0; READ_BYTES])
 }
 
 /// Writes all of it, however short and interrupted the writes are.
@@ -116,7 +206,7 @@
         match socket.write(bytes).await {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(n) => bytes = &bytes[n..],
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => future::yield_now().await,
             Err(e) => return Err(e),
         }
     }
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -9,7 +9,7 @@
 
 /// Each part of the library and the parts that it may use. The crate's root re-exports the
 /// interface of `dispatch`.
-const MAY_USE: [(&str, &[&str]); 14] = [
+const MAY_USE: [(&str, &[&str]); 15] = [
     ("store", &[]),
     ("dispatch", &[]),
     ("durable_file", &[]),
@@ -19,6 +19,7 @@
     (PLATFORM_SETTINGS, &["dispatch"]),
     ("admission_control", &["store"]),
     ("delivery", &["admission_control", "dispatch", "store"]),
+    ("memory_report", &["admission_control", "delivery", "net"]),
     ("message_trace", &["delivery"]),
     (
         "net",
--- a/tests/pins/settings_keys.rs
+++ b/tests/pins/settings_keys.rs
@@ -304,7 +304,7 @@
         "listen": "127.0.0.1:9000",
         "discovery": "127.0.0.1:8500",
         "seed": "2a",
-        "limits": { "sockets": 200, "disk_mb": 1.5 },
+        "limits": { "sockets": 200, "memory_mb": 64, "disk_mb": 1.5 },
         "known": {
             "rev": 9,
             "all": true,
@@ -322,13 +322,14 @@
     })
 }
 
-const PLATFORM_KEYS: [&str; 17] = [
+const PLATFORM_KEYS: [&str; 18] = [
     "name",
     "state",
     "listen",
     "discovery",
     "seed",
     "limits.sockets",
+    "limits.memory_mb",
     "limits.disk_mb",
     "known.rev",
     "known.all",
@@ -375,6 +376,7 @@
     assert_eq!(all.name, "n1");
     assert_eq!(all.seed, 0x2a);
     assert_eq!(all.sockets, 200);
+    assert_eq!(all.memory_bytes, 64_000_000);
     assert_eq!(all.store.limit_bytes, 1_500_000);
     let variables = [
         ("NODE_NAME", "n2"),
@@ -401,6 +403,7 @@
 seed = 42
 [limits]
 sockets = 200
+memory_mb = 64.0
 disk_mb = 1.5
 [store]
 durability = "machine"
@@ -433,11 +436,12 @@
 name = "event"
 "#;
 
-const OPERATOR_PLATFORM_KEYS: [&str; 28] = [
+const OPERATOR_PLATFORM_KEYS: [&str; 29] = [
     "name",
     "state",
     "seed",
     "limits.sockets",
+    "limits.memory_mb",
     "limits.disk_mb",
     "store.durability",
     "store.bodies_mb",
--- a/tests/sockets/floods.rs
+++ b/tests/sockets/floods.rs
@@ -4,6 +4,7 @@
 // The rig has more than floods need.
 #![allow(dead_code)]
 
+mod crowds;
 mod discovery;
 mod door;
 mod http;
@@ -11,3 +12,4 @@
 mod mqtt;
 mod program;
 mod rig;
+mod usual_clients;
