Give all others their turn however fast one peer sends

What callers saw: beside one connection that sent GET /up, an MQTT PUBACK or a PINGREQ without end, or one endpoint that sent lines behind its last chunk without end, nobody else was answered.

Cause: a loop that reads what is already there never waits, so that its task never ends its turn: no other task, timer or time-out of its own runs. Whether it yielded was left to each loop, and two of them did. Class: work whose amount the other side decides, done in one turn.

Change: fairness is decided in the stream that all wires share: after four reads, writes or messages of a connection all others have their turn, and in the framing of agents and coordinators before each message. An interrupted read or write yields before it is tried again.

--- a/src/coordination/framing.rs
+++ b/src/coordination/framing.rs
@@ -7,7 +7,7 @@
 //! has no other effect.
 
 use crate::coordination::messages::{Handshake, PROTOCOL_VERSION};
-use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use futures_lite::{future, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::io::{self, Read, Write};
@@ -88,7 +88,7 @@
         match from.read(into).await {
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
             Ok(n) => into = &mut into[n..],
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => future::yield_now().await,
             Err(e) => return Err(e),
         }
     }
@@ -107,14 +107,15 @@
         match to.write(frames).await {
             Ok(0) => return Err(FrameError::Io(io::ErrorKind::WriteZero.into())),
             Ok(n) => frames = &frames[n..],
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => future::yield_now().await,
             Err(e) => return Err(FrameError::Io(e)),
         }
     }
     Ok(())
 }
 
-/// Reads a message with a body of at most `max_bytes`.
+/// Reads a message with a body of at most `max_bytes`. Other tasks have their turn before each, also
+/// where the other side always has more to say.
 ///
 /// # Errors
 /// The connection ended or failed, or the frame is not the expected message.
@@ -122,6 +123,7 @@
     from: &mut (impl AsyncRead + Unpin),
     max_bytes: usize,
 ) -> Result<T, FrameError> {
+    future::yield_now().await;
     let mut head = [0; LENGTH_BYTES];
     // The other side may close the connection before the first byte of a frame.
     fill(from, &mut head[..1]).await.map_err(closed_at_end)?;
--- a/src/coordination/framing/tests.rs
+++ b/src/coordination/framing/tests.rs
@@ -154,3 +154,24 @@
     let read: Handshake = read_blocking(&mut line(), MAX_FRAME_BYTES).expect("whole");
     assert_eq!(read, hello());
 }
+
+/// Guards against a peer that keeps all other tasks waiting by frames without end.
+#[test]
+fn frames_that_are_all_there_leave_other_tasks_their_turn() {
+    let frames = encode(&hello(), MAX_FRAME_BYTES)
+        .expect("short")
+        .repeat(1_000);
+    let reads = async {
+        let mut rest = &frames[..];
+        while read::<Handshake>(&mut rest, MAX_FRAME_BYTES).await.is_ok() {}
+        "all frames"
+    };
+    let other = async {
+        future::yield_now().await;
+        "the other task"
+    };
+
+    let first = async_io::block_on(future::or(reads, other));
+
+    assert_eq!(first, "the other task");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod delivery;
 pub mod dispatch;
 pub mod durable_file;
+pub mod event_loop;
 pub mod log_filter;
 pub mod loop_latency;
 pub mod memory_report;
--- a/src/main.rs
+++ b/src/main.rs
@@ -28,6 +28,7 @@
 use raildeal::delivery::timer_wheel::TimerWheel;
 use raildeal::delivery::{duration, EndpointClient as _, Frontend};
 use raildeal::dispatch::list_polling;
+use raildeal::event_loop;
 use raildeal::log_filter::with_present_paths;
 use raildeal::loop_latency::LoopLatency;
 use raildeal::memory_report::MemoryReport;
@@ -108,7 +109,7 @@
     let served = signals.and_then(|signals| {
         let config = configuration(source.as_deref())?;
         let serving = serve(config, source, executor.clone(), turns.clone(), signals);
-        let work = executor.run(serving);
+        let work = event_loop::run(&executor, serving);
         if log::log_enabled!(log::Level::Debug) {
             async_io::block_on(turns.measure(work))
         } else {
--- a/src/net/dns/server.rs
+++ b/src/net/dns/server.rs
@@ -167,6 +167,7 @@
 /// Reads one message off a connection; nothing at its end.
 async fn read(stream: &mut Stream) -> io::Result<Option<Vec<u8>>> {
     stream.release();
+    stream.turn().await;
     loop {
         if let Some(length) = stream.buf.first_chunk::<LENGTH>() {
             let total = LENGTH + usize::from(u16::from_be_bytes(*length));
--- a/src/net/mqtt/packets.rs
+++ b/src/net/mqtt/packets.rs
@@ -98,6 +98,7 @@
 /// Reads one packet off a connection; nothing at its end.
 pub async fn read(stream: &mut Stream) -> io::Result<Option<Packet>> {
     stream.release();
+    stream.turn().await;
     loop {
         if let Some((packet, len)) = decode(&stream.buf)? {
             stream.buf.drain(..len);
--- a/src/net/platform/http.rs
+++ b/src/net/platform/http.rs
@@ -11,6 +11,8 @@
 const MAX_INTERIM: usize = 32;
 /// Longest line of a chunked body that only tells a size.
 const MAX_CHUNK_LINE: usize = 1024;
+/// Most bytes of the lines after the last chunk, as of a head.
+const MAX_TRAILERS: usize = MAX_HEAD;
 
 /// Input that breaks the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -263,6 +265,8 @@
 #[derive(Debug, Default)]
 pub struct Chunks {
     state: Chunk,
+    /// Bytes of the lines after the last chunk, so far.
+    trailer_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -280,38 +284,63 @@
 impl Chunks {
     /// Moves what can be read from `from` to `into`; true once the body has ended.
     pub fn take(&mut self, from: &mut Vec<u8>, into: &mut Vec<u8>) -> Result<bool, Bad> {
+        let mut taken = 0;
+        let ended = self.take_from(from, &mut taken, into);
+        from.drain(..taken);
+        ended
+    }
+
+    /// The same, with how far `from` was read in `taken`: each byte is moved once.
+    fn take_from(
+        &mut self,
+        from: &[u8],
+        taken: &mut usize,
+        into: &mut Vec<u8>,
+    ) -> Result<bool, Bad> {
         loop {
-            self.state = match self.state {
+            let rest = &from[*taken..];
+            match self.state {
                 Chunk::Done => return Ok(true),
-                Chunk::Data(0) => Chunk::After,
+                Chunk::Data(0) => self.state = Chunk::After,
                 Chunk::Data(left) => {
-                    let n = left.min(from.len());
-                    into.extend(from.drain(..n));
+                    let n = left.min(rest.len());
+                    into.extend_from_slice(&rest[..n]);
+                    *taken += n;
+                    self.state = Chunk::Data(left - n);
                     if n < left {
-                        self.state = Chunk::Data(left - n);
                         return Ok(false);
                     }
-                    Chunk::After
                 }
                 Chunk::Size | Chunk::After | Chunk::Trailer => {
-                    let Some(line) = take_line(from) else {
-                        let long = from.len() > MAX_CHUNK_LINE;
-                        return if long { Err(Bad::Chunks) } else { Ok(false) };
+                    let Some((line, length)) = next_line(rest)? else {
+                        return Ok(false);
                     };
-                    match self.state {
-                        Chunk::After if line.is_empty() => Chunk::Size,
-                        Chunk::After => return Err(Bad::Chunks),
-                        Chunk::Trailer if line.is_empty() => Chunk::Done,
-                        Chunk::Trailer => Chunk::Trailer,
-                        _ => match chunk_size(&line).ok_or(Bad::Chunks)? {
-                            0 => Chunk::Trailer,
-                            n => Chunk::Data(n),
-                        },
-                    }
+                    *taken += length;
+                    self.state = self.after_line(line, length)?;
                 }
             }
         }
     }
+
+    /// What follows a whole line, which took so many bytes.
+    fn after_line(&mut self, line: &[u8], length: usize) -> Result<Chunk, Bad> {
+        match self.state {
+            Chunk::After if line.is_empty() => Ok(Chunk::Size),
+            Chunk::After => Err(Bad::Chunks),
+            Chunk::Trailer if line.is_empty() => Ok(Chunk::Done),
+            Chunk::Trailer => {
+                self.trailer_bytes += length;
+                if self.trailer_bytes > MAX_TRAILERS {
+                    return Err(Bad::Chunks);
+                }
+                Ok(Chunk::Trailer)
+            }
+            _ => Ok(match chunk_size(line).ok_or(Bad::Chunks)? {
+                0 => Chunk::Trailer,
+                n => Chunk::Data(n),
+            }),
+        }
+    }
 }
 
 fn chunk_size(line: &[u8]) -> Option<usize> {
@@ -320,15 +349,15 @@
     hex.then(|| usize::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok())?
 }
 
-/// Takes one line off the front, without its end.
-fn take_line(from: &mut Vec<u8>) -> Option<Vec<u8>> {
-    let end = from.iter().position(|b| *b == b'\n')?;
-    let mut line: Vec<u8> = from.drain(..=end).collect();
-    line.pop();
-    if line.last() == Some(&b'\r') {
-        line.pop();
-    }
-    Some(line)
+/// The first line, without its end, and the bytes that it takes; nothing while it is not whole.
+fn next_line(from: &[u8]) -> Result<Option<(&[u8], usize)>, Bad> {
+    let looked_at = &from[..from.len().min(MAX_CHUNK_LINE + 1)];
+    let Some(end) = looked_at.iter().position(|b| *b == b'\n') else {
+        let is_long = from.len() > MAX_CHUNK_LINE;
+        return if is_long { Err(Bad::Chunks) } else { Ok(None) };
+    };
+    let line = &from[..end];
+    Ok(Some((line.strip_suffix(b"\r").unwrap_or(line), end + 1)))
 }
 
 /// Reads the head of an answer off a connection, be it one that only announces another.
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -142,6 +142,7 @@
 
     /// Waits for the first bytes of a request; false where none comes.
     async fn begins(&self, stream: &mut Stream) -> bool {
+        stream.turn().await;
         if !stream.buf.is_empty() {
             return true;
         }
--- a/src/net/platform/list.rs
+++ b/src/net/platform/list.rs
@@ -97,6 +97,10 @@
             said = self.byte(text[taken])?;
             taken += 1;
         }
+        if said == Some(Said::NoChange) {
+            // Empty lines that come together are one word.
+            taken += text[taken..].iter().take_while(|b| **b == b'\n').count();
+        }
         text.drain(..taken);
         Ok(said)
     }
--- a/src/net/platform/watch.rs
+++ b/src/net/platform/watch.rs
@@ -12,7 +12,6 @@
 use crate::delivery::timer_wheel::TimerWheel;
 use crate::net::stream::Stream;
 use async_channel::Receiver;
-use futures_lite::future;
 use std::cell::Cell;
 use std::io;
 use std::path::PathBuf;
@@ -122,8 +121,6 @@
             if !more.ok_or_else(|| io::Error::new(io::ErrorKind::TimedOut, "silent"))?? {
                 return Ok(());
             }
-            // However fast it comes, others have their turn.
-            future::yield_now().await;
         }
     }
 
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -17,6 +17,8 @@
 const READ_BYTES: usize = 8 * 1024;
 /// A buffer grows by whole multiples of so many bytes.
 const GROWTH_BYTES: usize = 2 * 1024;
+/// Reads, writes and messages of one connection after which all others have their turn.
+const STEPS_PER_TURN: u32 = 4;
 
 /// One connection.
 pub struct Stream {
@@ -26,6 +28,8 @@
     filled_at: Instant,
     /// Bounds what others make this connection hold; nothing bounds it where its wire does.
     memory: Option<Rc<MemoryHold>>,
+    /// Steps of the present turn.
+    steps: u32,
 }
 
 impl Stream {
@@ -46,6 +50,7 @@
             buf: Vec::new(),
             filled_at: Instant::now(),
             memory: None,
+            steps: 0,
         }
     }
 
@@ -58,11 +63,23 @@
         }
     }
 
+    /// Lets others have their turn, once this connection has had its own. Whoever takes several
+    /// messages out of what was read at once calls this before each: a peer that always has more
+    /// to say would never let its task wait, and nothing else would run.
+    pub async fn turn(&mut self) {
+        self.steps += 1;
+        if self.steps >= STEPS_PER_TURN {
+            self.steps = 0;
+            future::yield_now().await;
+        }
+    }
+
     /// Reads more; false at the end of what the other side sends.
     ///
     /// # Errors
     /// The connection failed, or there is no memory for more ([`io::ErrorKind::OutOfMemory`]).
     pub async fn fill(&mut self) -> io::Result<bool> {
+        self.turn().await;
         let most = self.readable_bytes()?;
         loop {
             let buf = &mut self.buf;
@@ -135,6 +152,7 @@
 
     /// Writes all of it.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.steps += 1;
         write_all(&self.socket, bytes).await
     }
 
--- a/tests/layers.rs
+++ b/tests/layers.rs
@@ -9,10 +9,11 @@
 
 /// Each part of the library and the parts that it may use. The crate's root re-exports the
 /// interface of `dispatch`.
-const MAY_USE: [(&str, &[&str]); 15] = [
+const MAY_USE: [(&str, &[&str]); 16] = [
     ("store", &[]),
     ("dispatch", &[]),
     ("durable_file", &[]),
+    ("event_loop", &[]),
     ("log_filter", &[]),
     ("loop_latency", &[]),
     ("process_signals", &[]),
--- a/tests/sockets/floods.rs
+++ b/tests/sockets/floods.rs
@@ -4,6 +4,7 @@
 // The rig has more than floods need.
 #![allow(dead_code)]
 
+mod busy_peers;
 mod crowds;
 mod discovery;
 mod door;
