Hold a message in tests of start files with no call out when the process is killed

Cause: the test had one of two endpoints refuse the message and killed the process at once. Some times the call to the other endpoint was out by then; the stand-in handed that dead call to the test as the first of the next process, the test answered it, and the call that was out went unanswered until the message's time was up (log: 2 calls made at the take-up, then three time-outs).

Change: both endpoints refuse it, as strict as before, and no call is out at the kill.

--- a/tests/sockets/start_files.rs
+++ b/tests/sockets/start_files.rs
@@ -47,13 +47,16 @@
     fs::write(path, content).expect("written");
 }
 
-/// Hands a message in that is refused for now, so that it is held.
+/// Hands a message in that both endpoints refuse for now, so that it is held and no call is out: one
+/// that a kill ends would be taken for the first of the next process.
 fn hold(site: &mut Site, message: &Message) {
     assert_eq!(site.client.hand_in(message), Heard::TakenOn);
-    let call = site.providers.call();
-    assert_eq!(call.message.id, message.id);
-    call.answer(Answer::Full(Some(1000)));
-    site.program.says(" Rejected {");
+    for _ in &site.addresses {
+        let call = site.providers.call();
+        assert_eq!(call.message.id, message.id);
+        call.answer(Answer::Full(Some(1000)));
+        site.program.says(" Rejected {");
+    }
 }
 
 /// Checks that a line that the start wrote before it was ready holds these words.
