Remember the ids of messages that have ended, also over a restart

What callers saw: in a class that may not be repeated, a message that came again under its id 20 ms to 1 s after the first copy ran twice, 20 of 20, and was told 202 each time; in bursts up to 68 of 480.

Cause: an id was known for as long as its message was held, and forgotten at its end. Class: state that a promise rests on ends before the promise does.

A repeat of a delivered message is answered as delivered once more (202; MQTT: the final answer again), of a failed one as failed; a deferred one is a new message. Another message under such an id is refused as it is under a held one. A folder that cannot be used ends no start. The count of files that the test of start files spoils is 4 now.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,6 +7,7 @@
 use crate::admission_control::message_limits;
 use crate::config::platform_settings::Deployment;
 use crate::delivery::endpoint::{EndpointEntry, EndpointListUpdate};
+use crate::delivery::finished_messages::FinishedMessages;
 use crate::delivery::journal::{Durability, JournalOptions};
 use crate::delivery::policies::Policy;
 use crate::delivery::script_hook::{ScriptHook, MAX_SCRIPT_BYTES};
@@ -601,14 +602,20 @@
         }
     }
 
-    /// Returns the options of the journal, which shares the state folder with the zone's copy.
+    /// Returns the bytes of the state folder for the ids of messages that have ended.
+    pub fn finished_ids_bytes(&self) -> u64 {
+        FinishedMessages::reserved_bytes(self.store.limit_bytes)
+    }
+
+    /// Returns the options of the journal, which shares the state folder with the ids of messages
+    /// that have ended and with the zone's copy.
     pub fn journal_options(&self) -> JournalOptions {
         let reserved_bytes = match &self.dns {
             Some(_) => ZoneCache::reserved_bytes(self.store.limit_bytes),
             None => 0,
         };
         JournalOptions {
-            limit_bytes: self.store.limit_bytes - reserved_bytes,
+            limit_bytes: self.store.limit_bytes - reserved_bytes - self.finished_ids_bytes(),
             ..self.store
         }
     }
--- a/src/delivery/message/accept.rs
+++ b/src/delivery/message/accept.rs
@@ -16,12 +16,13 @@
 use crate::delivery::client_quota::{Client, ClientQuotaGuard, ClientQuotas};
 use crate::delivery::driver::{DispatchOrder, DispatcherDriver};
 use crate::delivery::endpoint_directory::EndpointDirectory;
+use crate::delivery::finished_messages::Ending;
 use crate::delivery::journal::OpenRecord;
 use crate::delivery::policies::{Policy, PolicyHold, PolicySet};
 use crate::delivery::routing_tables::RoutingTables;
 use crate::delivery::script_hook::{HookDecision, ScriptBudget};
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::delivery::{duration, Envelope, LifecycleEvent};
+use crate::delivery::{duration, Envelope, FinalAnswer, LifecycleEvent, Verdict};
 use crate::store::log::PutError;
 use std::io;
 use std::rc::Rc;
@@ -143,7 +144,7 @@
     let identity = Identity::of(&submission.envelope);
     let duplicate = held.find_duplicate(&submission.envelope, &context.wheel);
     if let Some(duplicate) = duplicate.await {
-        answer_duplicate(&identity.id, duplicate, reply).await;
+        answer_duplicate(context, &submission.envelope, duplicate, reply).await;
         return None;
     }
     if let Err(closed) = checks.wait_for_admission(&mut submission).await {
@@ -152,7 +153,7 @@
     }
     let terms = checks.current_terms();
     submission.limit_time_left(&terms.policy.policy);
-    let Some(id_guard) = held.register(&submission.envelope, &context.frontends) else {
+    let Some(id_guard) = held.register_new(&submission.envelope, &context.frontends) else {
         answer_concurrent_duplicate(context, &submission.envelope, reply).await;
         return None;
     };
@@ -172,15 +173,17 @@
     answer_client(&checks, &identity, message, table, reply).await
 }
 
-/// Answers a message that was submitted under the id of a held one.
-async fn answer_duplicate(id: &str, duplicate: Duplicate, reply: Box<dyn ClientReply>) {
+/// Answers a message that was submitted under the id of a held or ended one.
+async fn answer_duplicate(
+    context: &DeliveryContext,
+    envelope: &Envelope,
+    duplicate: Duplicate,
+    reply: Box<dyn ClientReply>,
+) {
+    let id = &envelope.id;
     match duplicate {
         Duplicate::OtherMessage => {
-            log_step!(
-                debug,
-                id,
-                "not accepted: another message with this id is held"
-            );
+            log_step!(debug, id, "not accepted: another message has this id");
             reply.failed().await;
         }
         Duplicate::SameMessage => {
@@ -189,6 +192,38 @@
             log_step!(debug, id, "submitted again while held");
             reply.accepted().await.unwrap_or_default();
         }
+        Duplicate::Finished(Ending::Failed) => {
+            log_step!(debug, id, "submitted again after it failed");
+            reply.failed().await;
+        }
+        Duplicate::Finished(Ending::Delivered) => {
+            log_step!(debug, id, "submitted again after it was delivered");
+            answer_delivered_again(context, envelope, reply).await;
+        }
+    }
+}
+
+/// Answers a message that has been delivered as delivered once more: it is accepted, and its final
+/// answer is sent again. Its id is held meanwhile, so that further copies send none of their own.
+async fn answer_delivered_again(
+    context: &DeliveryContext,
+    envelope: &Envelope,
+    reply: Box<dyn ClientReply>,
+) {
+    let id_guard = context.held_messages.register(envelope, &context.frontends);
+    if let Some(id_guard) = &id_guard {
+        id_guard.decide(AcceptanceDecision::Accepted);
+    }
+    if reply.accepted().await.is_err() {
+        return;
+    }
+    let frontend = context.frontends.get(&envelope.frontend);
+    if let Some(frontend) = frontend.filter(|_| id_guard.is_some()) {
+        let answer = FinalAnswer {
+            verdict: Verdict::Delivered,
+            crosses_end: false,
+        };
+        frontend.send_final_answer(envelope, answer).await;
     }
 }
 
@@ -200,7 +235,7 @@
 ) {
     let held = &context.held_messages;
     match held.find_duplicate(envelope, &context.wheel).await {
-        Some(duplicate) => answer_duplicate(&envelope.id, duplicate, reply).await,
+        Some(duplicate) => answer_duplicate(context, envelope, duplicate, reply).await,
         None => {
             let checks = context.acceptance_checks();
             let retry_after = checks.limit_retry_after(NO_CAPACITY_RETRY_AFTER);
--- a/src/delivery/message/deliver.rs
+++ b/src/delivery/message/deliver.rs
@@ -23,7 +23,7 @@
 pub(super) async fn deliver(context: &DeliveryContext, mut message: MessageInDelivery) {
     match attempt_until_concluded(&context.attempt_executor(), &mut message).await {
         Conclusion::Verdict(verdict) => context.final_answers().conclude(message, verdict).await,
-        Conclusion::ClosedElsewhere => close_without_answer(message),
+        Conclusion::ClosedElsewhere => close_without_answer(context, message),
     }
 }
 
@@ -59,7 +59,7 @@
     }
 }
 
-fn close_without_answer(message: MessageInDelivery) {
+fn close_without_answer(context: &DeliveryContext, message: MessageInDelivery) {
     let (id, destination) = (&message.envelope.id, message.envelope.dest);
     log_step!(
         debug,
@@ -67,5 +67,8 @@
         "{}{destination} closed without a final answer",
         step::DECIDED
     );
+    context
+        .held_messages
+        .remember_end(&message.envelope, Verdict::Undeliverable);
     let _ = message.record.close();
 }
--- a/src/delivery/message/final_answer.rs
+++ b/src/delivery/message/final_answer.rs
@@ -4,6 +4,7 @@
 //! message has time left. The frontend implements the transfer. `deliver` calls this module once
 //! the verdict is known, and [`resume`](super::resume) for a verdict of an earlier process.
 
+use super::held_messages::HeldMessages;
 use super::in_delivery::MessageInDelivery;
 use super::step;
 use super::{class_name, log_step};
@@ -29,6 +30,7 @@
 pub(super) struct FinalAnswerReporter<'a> {
     pub(super) frontends: &'a BTreeMap<u8, Rc<dyn Frontend>>,
     pub(super) driver: &'a DispatcherDriver,
+    pub(super) held_messages: &'a HeldMessages,
     pub(super) class_names: &'a [String],
     pub(super) script_budget: &'a ScriptBudget,
     pub(super) wheel: &'a Rc<TimerWheel>,
@@ -101,6 +103,7 @@
         };
         frontend.send_final_answer(envelope, answer).await;
         log_step!(debug, id, "{}", step::NOTIFIED);
+        self.held_messages.remember_end(envelope, answer.verdict);
         let _ = record.close();
     }
 
--- a/src/delivery/message/held_messages.rs
+++ b/src/delivery/message/held_messages.rs
@@ -1,11 +1,12 @@
 //! The held messages, by the ids that their clients assigned.
 //!
 //! This module detects duplicates. While a [`MessageIdGuard`] exists, another message of the same
-//! id is recognized as a duplicate, whether or not the first one is accepted yet. `accept` and
-//! `resume` register messages. The journal and the dispatcher use numbers of their own.
+//! id is recognized as a duplicate, whether or not the first one is accepted yet; after its end,
+//! [`FinishedMessages`] recognizes it. `accept` and `resume` register messages. The journal and the dispatcher use numbers of their own.
 
+use crate::delivery::finished_messages::{Ending, FinishedMessage, FinishedMessages, MessageKey};
 use crate::delivery::timer_wheel::TimerWheel;
-use crate::delivery::{Envelope, Frontend};
+use crate::delivery::{Envelope, Frontend, Verdict};
 use event_listener::Event as Notifier;
 use std::any::Any;
 use std::cell::{Cell, RefCell};
@@ -21,13 +22,7 @@
 #[derive(Default)]
 pub struct HeldMessages {
     by_id: RefCell<HashMap<MessageKey, HeldMessage>>,
-}
-
-/// Key of a held message: ids are unique within a frontend.
-#[derive(Clone, PartialEq, Eq, Hash)]
-struct MessageKey {
-    frontend: u8,
-    id: String,
+    finished: FinishedMessages,
 }
 
 impl MessageKey {
@@ -88,11 +83,47 @@
 pub(super) enum Duplicate {
     /// The same message, submitted again.
     SameMessage,
+    /// The same message, which has ended.
+    Finished(Ending),
     /// A different message with the same id.
     OtherMessage,
 }
 
 impl HeldMessages {
+    /// Creates the table, beside that of the messages that have ended.
+    pub fn new(finished: FinishedMessages) -> Self {
+        HeldMessages {
+            by_id: RefCell::default(),
+            finished,
+        }
+    }
+
+    /// Returns the number of ids of ended messages that are remembered.
+    pub fn finished_count(&self) -> usize {
+        self.finished.len()
+    }
+
+    /// Remembers that a message has ended, so that it does not run again under its id.
+    pub(super) fn remember_end(&self, envelope: &Envelope, verdict: Verdict) {
+        let Some(ending) = Ending::of(verdict) else {
+            return;
+        };
+        let message = FinishedMessage {
+            fingerprint: fingerprint(envelope),
+            ending,
+        };
+        self.finished.remember(MessageKey::of(envelope), message);
+    }
+
+    fn find_finished(&self, envelope: &Envelope) -> Option<Duplicate> {
+        let finished = self.finished.find(&MessageKey::of(envelope))?;
+        if finished.fingerprint == fingerprint(envelope) {
+            Some(Duplicate::Finished(finished.ending))
+        } else {
+            Some(Duplicate::OtherMessage)
+        }
+    }
+
     /// Returns the number of held messages.
     pub fn len(&self) -> usize {
         self.by_id.borrow().len()
@@ -103,18 +134,17 @@
         self.by_id.borrow().is_empty()
     }
 
-    /// Looks for a held message with the same id. Waits for a decision if that message may still be
+    /// Looks for a held or ended message with the same id. Waits for a decision if that message may still be
     /// rejected: a client that is answered earlier would consider its message accepted.
     pub(super) async fn find_duplicate(
         &self,
         envelope: &Envelope,
         wheel: &Rc<TimerWheel>,
     ) -> Option<Duplicate> {
-        let held = self
-            .by_id
-            .borrow()
-            .get(&MessageKey::of(envelope))
-            .cloned()?;
+        let held = self.by_id.borrow().get(&MessageKey::of(envelope)).cloned();
+        let Some(held) = held else {
+            return self.find_finished(envelope);
+        };
         if held.decision.wait(wheel).await == AcceptanceDecision::Rejected {
             return None;
         }
@@ -125,6 +155,19 @@
         }
     }
 
+    /// Registers a new message under its id. Returns `None` if a message with this id is held or
+    /// has ended.
+    pub(super) fn register_new(
+        self: &Rc<Self>,
+        envelope: &Envelope,
+        frontends: &BTreeMap<u8, Rc<dyn Frontend>>,
+    ) -> Option<MessageIdGuard> {
+        if self.find_finished(envelope).is_some() {
+            return None;
+        }
+        self.register(envelope, frontends)
+    }
+
     /// Registers a message under its id. Returns `None` if a message with this id is held already.
     pub(super) fn register(
         self: &Rc<Self>,
--- a/src/delivery/message/mod.rs
+++ b/src/delivery/message/mod.rs
@@ -313,6 +313,7 @@
         FinalAnswerReporter {
             frontends: &self.frontends,
             driver: &self.driver,
+            held_messages: &self.held_messages,
             class_names: &self.class_names,
             script_budget: &self.script_budget,
             wheel: &self.wheel,
--- a/src/delivery/mod.rs
+++ b/src/delivery/mod.rs
@@ -29,6 +29,7 @@
 pub mod endpoint;
 pub mod endpoint_directory;
 pub mod evacuation;
+pub mod finished_messages;
 pub mod journal;
 pub mod message;
 pub mod policies;
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,9 +18,11 @@
 use raildeal::delivery::driver::{DispatcherDriver, DriverEffects};
 use raildeal::delivery::endpoint::Endpoint;
 use raildeal::delivery::endpoint_directory::EndpointDirectory;
+use raildeal::delivery::finished_messages::FinishedMessages;
 use raildeal::delivery::journal::persistent_clock::PersistentClock;
 use raildeal::delivery::journal::restart_state;
 use raildeal::delivery::journal::{Journal, JournalOptions};
+use raildeal::delivery::message::held_messages::HeldMessages;
 use raildeal::delivery::message::{self, DeliveryContext};
 use raildeal::delivery::policies::PolicySet;
 #[cfg(feature = "fleet")]
@@ -308,6 +310,7 @@
         let mut all = context.driver.table_sizes();
         all.extend(context.directory.sizes());
         all.push(("names", context.held_messages.len()));
+        all.push(("finished", context.held_messages.finished_count()));
         all.push(("idle", invoker.idle()));
         all.push(("notices", notices.as_ref().map_or(0, |n| n.waiting())));
         all.push(("sleepers", context.wheel.sleeping()));
@@ -556,6 +559,7 @@
         },
     )
     .map_err(|e| format!("state: {}: {e}", config.state.display()))?;
+    let finished = FinishedMessages::open(&config.state, config.finished_ids_bytes());
     let owes_answers = !unfinished.is_empty();
     settings.watch_heartbeat = config
         .platform
@@ -619,7 +623,7 @@
         endpoint_client: invoker.clone(),
         frontends: fronts,
         wheel: wheel.clone(),
-        held_messages: Default::default(),
+        held_messages: Rc::new(HeldMessages::new(finished)),
         script_budget: Default::default(),
     });
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -16,6 +16,7 @@
 mod platform_only;
 mod program;
 mod reload;
+mod repeats;
 mod rig;
 mod scenarios;
 mod spoilt;
--- a/tests/sockets/start_files.rs
+++ b/tests/sockets/start_files.rs
@@ -169,8 +169,8 @@
         hold(&mut site, &message("held"));
         site.kill();
         let files = files_beside_the_journal(&site.state());
-        // The copy of the zone and the clock.
-        assert_eq!(files.len(), 2, "{files:?}");
+        // The copy of the zone, the clock, and the ids of messages that have ended.
+        assert_eq!(files.len(), 4, "{files:?}");
         for file in files {
             spoil(&file, how);
         }
