Send on nothing for a client that had left before it could hear that it is accepted

What callers saw: of messages that clients wrote at once before they closed without reading, 26 to 30 of about 865 that ran began more than 100 ms after their client had left.

Cause: the 202 to a client that has closed its connection is written without an error; it is the reset that comes back for it that tells. The message counted as accepted, one for each such connection.

Change: where the other side had ended what it sends, or sent more without waiting, before its 202 was written, a reset right behind it withdraws the message, which has not been sent yet. A client that has only ended its sending side hears its answer as before, and one that waits for its answer is not looked at twice. Messages whose 202 was written to a connection that was open are still sent: their client may have read it.

--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -407,22 +407,43 @@
 
 impl Answer {
     async fn give(mut self, status: u16, headers: &str) -> io::Result<()> {
+        self.send(status, headers).await?;
+        self.hand_back(status).await;
+        Ok(())
+    }
+
+    /// Tells a client that its message is accepted. One that had closed its connection before did
+    /// not hear it: the answer is met by a reset.
+    async fn give_accepted(mut self) -> io::Result<()> {
+        const STATUS: u16 = 202;
+        let may_have_left = self.stream.has_ended_or_sent_more();
+        self.send(STATUS, "").await?;
+        if may_have_left && self.stream.is_reset() {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        self.hand_back(STATUS).await;
+        Ok(())
+    }
+
+    async fn send(&mut self, status: u16, headers: &str) -> io::Result<()> {
         let head = head(status, headers, self.keep);
         let sent = self
             .wheel
             .timeout(STUCK, self.stream.send(head.as_bytes()))
             .await;
-        sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))?;
+        sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    async fn hand_back(self, status: u16) {
         if self.keep {
             let _ = self.back.send((self.stream, status)).await;
         }
-        Ok(())
     }
 }
 
 impl ClientReply for Answer {
     fn accepted<'a>(self: Box<Self>) -> LocalBoxFuture<'a, io::Result<()>> {
-        self.give(202, "").boxed_local()
+        self.give_accepted().boxed_local()
     }
 
     fn rejected<'a>(self: Box<Self>, wait: Duration) -> LocalBoxFuture<'a, ()> {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -191,6 +191,19 @@
         }
     }
 
+    /// Whether the other side does not just wait for an answer: it has ended what it sends, or sent
+    /// more.
+    pub fn has_ended_or_sent_more(&self) -> bool {
+        let unread = self.socket.get_ref().peek(&mut [0]);
+        !self.buf.is_empty() || unread.is_ok()
+    }
+
+    /// Whether the other side has reset the connection. After the end of what it sends, a read does
+    /// not tell that.
+    pub fn is_reset(&self) -> bool {
+        matches!(self.socket.get_ref().take_error(), Ok(Some(_)))
+    }
+
     /// Whether an idle connection can be used: still open, and with nothing on it that nobody asked
     /// for.
     pub fn is_quiet(&self) -> bool {
--- a/tests/sockets/repeats.rs
+++ b/tests/sockets/repeats.rs
@@ -1,11 +1,15 @@
-//! Messages that come again under the id of one that has ended: nothing runs twice.
+//! Messages that come again under the id of one that has ended, and clients that leave: nothing runs
+//! twice, and nothing runs for a client that was gone before it could hear of it.
 
-use crate::http::Http;
+use crate::http::{answer, request, Http};
 use crate::mqtt::Mqtt;
 use crate::rig::{message, settings, Answer, End, Heard, Message, Rig, Wire};
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::Duration;
 
+const MS: Duration = Duration::from_millis(1);
 /// After these times a message comes again, beginning with its end.
 const COMES_AGAIN_AFTER: [Duration; 3] = [
     Duration::ZERO,
@@ -14,6 +18,8 @@
 ];
 /// Nothing runs within this time: far more than a call takes to begin.
 const QUIET: Duration = Duration::from_millis(300);
+/// Messages that a client writes at once before it leaves.
+const AT_ONCE: usize = 40;
 
 /// Settings whose class has this effect.
 fn with_effect(effect: &str) -> String {
@@ -80,3 +86,42 @@
     rig.quiet(QUIET);
     rig.finish(&[]);
 }
+
+/// Stands the program still while something is done that it finds afterwards, all at once.
+fn while_stopped(rig: &Rig<Http>, what: impl FnOnce()) {
+    rig.program.signal("STOP");
+    what();
+    thread::sleep(20 * MS);
+    rig.program.signal("CONT");
+}
+
+/// Guards against messages that are sent on for a client that had left before it was answered.
+#[test]
+fn what_a_client_wrote_before_it_left_unanswered_is_not_sent_on() {
+    for at_once in [1, AT_ONCE] {
+        let rig = Rig::<Http>::start(&[("p", "a")]);
+        while_stopped(&rig, || {
+            let mut stream = TcpStream::connect(rig.address).expect("connected");
+            for number in 0..at_once {
+                let bytes = request(&message(&format!("m{number}")));
+                stream.write_all(&bytes).expect("written");
+            }
+        });
+        rig.quiet(QUIET);
+        rig.finish(&[]);
+    }
+}
+
+/// Guards against a client that has ended only what it sends and is taken for one that has left.
+#[test]
+fn a_client_that_only_ended_what_it_sends_is_answered_and_its_message_delivered() {
+    let rig = Rig::<Http>::start(&[("p", "a")]);
+    let mut stream = TcpStream::connect(rig.address).expect("connected");
+    while_stopped(&rig, || {
+        stream.write_all(&request(&message("m1"))).expect("written");
+        stream.shutdown(Shutdown::Write).expect("shut");
+    });
+    assert_eq!(answer(&mut stream).expect("an answer").0, 202);
+    rig.call().answer(Answer::Delivered);
+    rig.finish(&["m1"]);
+}
