Keep connections to an endpoint's process and not to its handle

What callers saw: a stand-in endpoint stopped listening and went on answering on its connections, another process listened at its address, and discovery told the same uid with a new boot_ms: 11 and 12 of 20 calls went to the old process.

Cause: boot_ms was not read, and kept connections were found by the endpoint's handle, which a new start or a new address does not change. Closing them when the address changed left those on which a call was out, which came back under the same handle. Class: what was learnt of a process is kept by a name that outlives it.

Change: the list's boot_ms is a part of the entry; handle, address and start are an incarnation. Idle connections are kept by it, a change of it closes those of the one before, an attempt that ends at a replaced process closes its connection, and one that was ordered for it is not sent (EndpointReplaced).

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -756,6 +756,7 @@
         dest: p.dest,
         condition: Condition::Ready,
         rate: p.rate,
+        started_unix_ms: 0,
     });
     EndpointListUpdate {
         revision: 1,
--- a/src/delivery/endpoint.rs
+++ b/src/delivery/endpoint.rs
@@ -24,6 +24,21 @@
     pub condition: Condition,
     /// Listed capacity, in attempts per second.
     pub rate: f32,
+    /// When its process started, in milliseconds of Unix time, as listed; 0 where that is long ago
+    /// or not told.
+    pub started_unix_ms: u64,
+}
+
+/// One process of an endpoint: another one at the same address, or with the same id, is another
+/// incarnation, and nothing that was connected to the one before belongs to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct EndpointIncarnation {
+    /// The handle of the endpoint.
+    pub endpoint: EndpointAddress,
+    /// The address that it listens at.
+    pub address: SocketAddr,
+    /// When it started, as listed.
+    pub started_unix_ms: u64,
 }
 
 /// One update of the endpoint list, as received from its source.
@@ -51,6 +66,15 @@
 }
 
 impl Endpoint {
+    /// Returns the process that is listed.
+    pub fn incarnation(&self) -> EndpointIncarnation {
+        EndpointIncarnation {
+            endpoint: self.endpoint,
+            address: self.entry.address,
+            started_unix_ms: self.entry.started_unix_ms,
+        }
+    }
+
     /// Whether the endpoint is listed as ready.
     pub fn is_ready(&self) -> bool {
         self.entry.condition == Condition::Ready
--- a/src/delivery/endpoint_directory/mod.rs
+++ b/src/delivery/endpoint_directory/mod.rs
@@ -216,8 +216,8 @@
         let previous = endpoints.insert(handle, endpoint.clone());
         let previously = previous
             .as_ref()
-            .map(|p| (p.entry.condition, p.entry.address));
-        if previously != Some((condition, entry.address)) {
+            .map(|p| (p.entry.condition, p.incarnation()));
+        if previously != Some((condition, endpoint.incarnation())) {
             log::debug!(
                 "directory: provider {} ({:?}) at {}, dest {}: {:?}",
                 entry.uid,
@@ -226,7 +226,7 @@
                 entry.dest,
                 condition
             );
-            disconnect.extend(previous.filter(|p| p.entry.address != entry.address));
+            disconnect.extend(previous.filter(|p| p.incarnation() != endpoint.incarnation()));
         }
         if condition == Condition::Gone {
             endpoints.remove(&handle);
--- a/src/delivery/endpoint_directory/tests.rs
+++ b/src/delivery/endpoint_directory/tests.rs
@@ -13,6 +13,7 @@
         dest: 3,
         condition,
         rate: 1.0,
+        started_unix_ms: 0,
     }
 }
 
--- a/src/delivery/message/attempt.rs
+++ b/src/delivery/message/attempt.rs
@@ -91,12 +91,14 @@
         done.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Closes the idle connections to an endpoint that is draining or no longer listed. This may
+    /// Closes the idle connections to an endpoint that is draining, replaced or no longer listed. This may
     /// have happened while an attempt was in flight, and nothing else would close the connection
     /// that the attempt has returned to the pool.
     fn close_if_not_ready(&self, address: EndpointAddress, endpoint: &Endpoint) {
         let listed = self.directory.endpoint(address);
-        let is_ready = listed.is_some_and(|e| e.entry.condition == Condition::Ready);
+        let is_ready = listed.is_some_and(|e| {
+            e.entry.condition == Condition::Ready && e.incarnation() == endpoint.incarnation()
+        });
         if !is_ready {
             self.endpoint_client.close_idle(endpoint);
         }
@@ -108,6 +110,8 @@
 enum SendRefusal {
     /// The endpoint is draining, no longer listed, evacuated, or in a Retry-After wait.
     EndpointUnavailable,
+    /// Another process is listed in the endpoint's place.
+    EndpointReplaced,
     /// The time in which the attempt has to end is up.
     TimeUp,
     /// The endpoint list is stale.
@@ -198,6 +202,8 @@
         let now = Instant::now();
         if !directory.admits(self.address, now) {
             Some(SendRefusal::EndpointUnavailable)
+        } else if self.is_replaced() {
+            Some(SendRefusal::EndpointReplaced)
         } else if now >= self.ends_at {
             Some(SendRefusal::TimeUp)
         } else if driver.endpoint_list_is_stale() {
@@ -211,6 +217,12 @@
         }
     }
 
+    /// Whether another process has been listed in the endpoint's place since the attempt was ordered.
+    fn is_replaced(&self) -> bool {
+        let listed = self.executor.directory.endpoint(self.address);
+        listed.is_some_and(|e| e.incarnation() != self.endpoint.incarnation())
+    }
+
     /// Whether the message may be sent to the endpoint's zone although it may have run already, by
     /// the idempotency rules of its class.
     fn may_repeat(&self) -> bool {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -1,12 +1,12 @@
 //! Invoker calls over kept connections, the same for every wire: connect, ask once more, one write,
 //! one answer. A [`Dialect`] supplies the words.
 
-use crate::delivery::endpoint::Endpoint;
+use crate::delivery::endpoint::{Endpoint, EndpointIncarnation};
 use crate::delivery::timer_wheel::TimerWheel;
 use crate::delivery::{AttemptReport, AttemptRequest, EndpointClient, Envelope, LocalBoxFuture};
 use crate::net::socket_error::{is_local, is_out_of_descriptors};
 use crate::net::stream::Stream;
-use crate::{EndpointAddress, Outcome};
+use crate::Outcome;
 use futures_lite::{Future, FutureExt};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -83,8 +83,8 @@
 /// Owner of the connections to providers that speak one dialect.
 pub struct Calls<D> {
     dialect: D,
-    /// By provider and not by address: another machine may have taken over the address since.
-    idle: RefCell<HashMap<EndpointAddress, Vec<Link>>>,
+    /// By process and not by address: another one may have taken over the address since.
+    idle: RefCell<HashMap<EndpointIncarnation, Vec<Link>>>,
     /// Most of them.
     most: Cell<usize>,
     wheel: Rc<TimerWheel>,
@@ -147,7 +147,7 @@
     }
 
     /// The connection used last of those that still stand.
-    async fn kept(&self, provider: EndpointAddress) -> Option<Link> {
+    async fn kept(&self, provider: EndpointIncarnation) -> Option<Link> {
         loop {
             let link = self
                 .idle
@@ -176,7 +176,7 @@
             .is_some()
     }
 
-    fn keep(&self, provider: EndpointAddress, link: Link) {
+    fn keep(&self, provider: EndpointIncarnation, link: Link) {
         while self.idle() >= self.most.get() {
             if !self.give_up_oldest() {
                 return link.stream.try_send(self.dialect.farewell());
@@ -226,7 +226,7 @@
         let address = provider.entry.address;
         let deadline = (Instant::now() + timeout).min(ends_at - CLOSE_LEAD);
         let left = || deadline.saturating_duration_since(Instant::now());
-        let mut link = match self.kept(provider.endpoint).await {
+        let mut link = match self.kept(provider.incarnation()).await {
             Some(link) => link,
             None => match self
                 .wheel
@@ -250,7 +250,7 @@
         {
             Ok(bytes) if go() => bytes,
             _ => {
-                self.keep(provider.endpoint, link);
+                self.keep(provider.incarnation(), link);
                 return Outcome::NotSent.into();
             }
         };
@@ -289,7 +289,7 @@
             {
                 Some(Ok(Read::Interim)) => continue,
                 Some(Ok(Read::Whole)) if link.stream.buf.is_empty() => {
-                    self.keep(provider.endpoint, link);
+                    self.keep(provider.incarnation(), link);
                     return known.unwrap_or(Outcome::Error.into());
                 }
                 Some(Ok(_)) => {}
@@ -316,7 +316,7 @@
     }
 
     fn close_idle(&self, provider: &Endpoint) {
-        let links = self.idle.borrow_mut().remove(&provider.endpoint);
+        let links = self.idle.borrow_mut().remove(&provider.incarnation());
         links
             .iter()
             .flatten()
--- a/src/net/dns/zone.rs
+++ b/src/net/dns/zone.rs
@@ -184,6 +184,7 @@
             Some(other) => return Err(format!("{name} TXT: unknown state '{other}'")),
         },
         rate: rate.ok_or_else(|| format!("{name} TXT: rate is no number"))?,
+        started_unix_ms: 0,
     })
 }
 
--- a/src/net/platform/list.rs
+++ b/src/net/platform/list.rs
@@ -25,6 +25,8 @@
     state: String,
     #[serde(default)]
     capacity_hint: f32,
+    #[serde(default)]
+    boot_ms: u64,
 }
 
 /// Reads one object of the list.
@@ -43,6 +45,7 @@
             _ => Condition::Draining,
         },
         rate: t.capacity_hint,
+        started_unix_ms: t.boot_ms,
     });
     Ok(EndpointListUpdate {
         revision: hosts.rev,
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -311,6 +311,7 @@
         dest,
         condition: Condition::Ready,
         rate: 9.0,
+        started_unix_ms: 0,
     };
     Endpoint {
         endpoint: common::at(1),
--- a/tests/given_up_attempts.rs
+++ b/tests/given_up_attempts.rs
@@ -29,6 +29,7 @@
             dest: 0,
             condition: Condition::Ready,
             rate: 0.0,
+            started_unix_ms: 0,
         },
         zone: 0,
         kind: 0,
--- a/tests/message_delivery.rs
+++ b/tests/message_delivery.rs
@@ -311,6 +311,7 @@
         dest: 1,
         condition: Condition::Ready,
         rate: 9.0,
+        started_unix_ms: 0,
     });
     EndpointListUpdate {
         revision: 1,
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -65,8 +65,21 @@
 
     /// Lists a provider, or changes its line.
     pub fn list(&self, uid: &str, address: SocketAddr, zone: &str, kind: &str, condition: &str) {
+        self.list_started(uid, address, zone, kind, condition, 0);
+    }
+
+    /// The same with the Unix time in milliseconds at which it started.
+    pub fn list_started(
+        &self,
+        uid: &str,
+        address: SocketAddr,
+        zone: &str,
+        kind: &str,
+        condition: &str,
+        started_unix_ms: u64,
+    ) {
         let target = json!({"uid": uid, "endpoint": address, "az": zone, "model": kind, "pod_group": 7,
-            "state": condition, "capacity_hint": 50.0, "boot_ms": 0});
+            "state": condition, "capacity_hint": 50.0, "boot_ms": started_unix_ms});
         let mut state = self.state.lock().expect("a state");
         state.rev += 1;
         state.targets.retain(|t| t["uid"] != uid);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -17,6 +17,7 @@
 mod program;
 mod reload;
 mod repeats;
+mod replaced_endpoints;
 mod rig;
 mod scenarios;
 mod spoilt;
