Refuse new messages while too many final answers wait to be heard

Related path of the memory fault, found by reading: a message leaves the decision module with its verdict, so that openCap did not count those whose final answer nobody hears; only the folder bounded them, which at 3 MB is many thousands of tasks.

Change: the memory budget names how many messages may be held or wait for their final answer (openCap and a sixteenth of the limit at 4 kB each); beyond that new ones are refused with Retry-After.

Measured: tests/message_delivery.rs, a frontend that hears nothing; with the check taken out the test did not end, as the message was accepted.

--- a/src/admission_control/memory_budget.rs
+++ b/src/admission_control/memory_budget.rs
@@ -8,8 +8,10 @@
 const CONNECTION_BYTES: usize = 12_000;
 /// What a call needs beside the message's body: its task, the head of the answer and its buffer.
 const CALL_BYTES: usize = 40_000;
-/// What a held message needs beside its body.
+/// What a message needs beside its body, until its final answer is heard.
 const MESSAGE_BYTES: usize = 4_000;
+/// Part of the limit for messages whose final answers wait to be heard: one in so many bytes.
+const WAITING_SHARE: usize = 16;
 /// The least that is left for requests that are being read: two of the longest. With less, a long
 /// message could never be accepted.
 const LEAST_READING_BYTES: usize = 200_000;
@@ -36,6 +38,8 @@
 pub struct MemoryBudget {
     /// The limit on the whole process, in bytes.
     pub limit_bytes: usize,
+    /// Messages that may be held or wait for their final answer to be heard.
+    pub max_messages: usize,
     /// What all requests that are being read may hold together beyond [`FREE_BYTES`] each.
     pub reading_bytes: usize,
     /// The limit is too low for what the parts may need.
@@ -45,14 +49,17 @@
 impl MemoryBudget {
     /// Splits a limit.
     pub fn split(limit_bytes: usize, demand: Demand) -> Self {
+        let waiting = limit_bytes / WAITING_SHARE / MESSAGE_BYTES;
+        let max_messages = demand.messages + waiting;
         let fixed = OWN_BYTES
             + demand.connections * CONNECTION_BYTES
             + demand.calls * CALL_BYTES
-            + demand.messages * MESSAGE_BYTES
+            + max_messages * MESSAGE_BYTES
             + 3 * demand.state_folder_bytes;
         let left = limit_bytes.saturating_sub(fixed);
         MemoryBudget {
             limit_bytes,
+            max_messages,
             reading_bytes: left.max(LEAST_READING_BYTES),
             is_short: left < LEAST_READING_BYTES,
         }
--- a/src/delivery/message/accept.rs
+++ b/src/delivery/message/accept.rs
@@ -97,6 +97,8 @@
     NoEndpoint(u16),
     #[error("the maximum number of messages is held")]
     NoCapacity,
+    #[error("too many final answers wait to be heard")]
+    AnswersWaiting,
     #[error("{reason}")]
     ClientQuota { reason: Kept, retry_after: Duration },
     /// The frontend checked for a key under the previous policy, which did not require one. The
@@ -117,9 +119,10 @@
     fn retry_after(&self) -> Duration {
         match self {
             Rejection::Closed(closed) => closed.retry_after(),
-            Rejection::NoEndpoint(_) | Rejection::NoCapacity | Rejection::MissingKey => {
-                NO_CAPACITY_RETRY_AFTER
-            }
+            Rejection::NoEndpoint(_)
+            | Rejection::NoCapacity
+            | Rejection::AnswersWaiting
+            | Rejection::MissingKey => NO_CAPACITY_RETRY_AFTER,
             Rejection::ClientQuota { retry_after, .. }
             | Rejection::ScriptHook { retry_after }
             | Rejection::Journal { retry_after, .. } => *retry_after,
@@ -153,6 +156,13 @@
     }
     let terms = checks.current_terms();
     submission.limit_time_left(&terms.policy.policy);
+    if held.is_full() {
+        checks.count_rejection(&identity, &terms, &Rejection::AnswersWaiting);
+        checks
+            .reject(&identity, &Rejection::AnswersWaiting, reply)
+            .await;
+        return None;
+    }
     let Some(id_guard) = held.register_new(&submission.envelope, &context.frontends) else {
         answer_concurrent_duplicate(context, &submission.envelope, reply).await;
         return None;
--- a/src/delivery/message/held_messages.rs
+++ b/src/delivery/message/held_messages.rs
@@ -19,9 +19,10 @@
 const DECISION_TIMEOUT: Duration = super::CLIENT_ANSWER_TIMEOUT;
 
 /// The ids of all held messages.
-#[derive(Default)]
 pub struct HeldMessages {
     by_id: RefCell<HashMap<MessageKey, HeldMessage>>,
+    /// Most messages that may be held, those included whose final answer waits to be heard.
+    max_messages: usize,
     finished: FinishedMessages,
 }
 
@@ -89,15 +90,28 @@
     OtherMessage,
 }
 
+impl Default for HeldMessages {
+    /// A table without a bound, which ends with the process.
+    fn default() -> Self {
+        HeldMessages::new(usize::MAX, FinishedMessages::default())
+    }
+}
+
 impl HeldMessages {
-    /// Creates the table, beside that of the messages that have ended.
-    pub fn new(finished: FinishedMessages) -> Self {
+    /// Creates the table for at most so many messages, beside that of the messages that have ended.
+    pub fn new(max_messages: usize, finished: FinishedMessages) -> Self {
         HeldMessages {
             by_id: RefCell::default(),
+            max_messages,
             finished,
         }
     }
 
+    /// Whether no further message may be held.
+    pub fn is_full(&self) -> bool {
+        self.len() >= self.max_messages
+    }
+
     /// Returns the number of ids of ended messages that are remembered.
     pub fn finished_count(&self) -> usize {
         self.finished.len()
--- a/src/main.rs
+++ b/src/main.rs
@@ -623,7 +623,7 @@
         endpoint_client: invoker.clone(),
         frontends: fronts,
         wheel: wheel.clone(),
-        held_messages: Rc::new(HeldMessages::new(finished)),
+        held_messages: Rc::new(HeldMessages::new(memory.max_messages, finished)),
         script_budget: Default::default(),
     });
 
--- a/tests/message_delivery.rs
+++ b/tests/message_delivery.rs
@@ -2,6 +2,7 @@
 //! made, the answers to clients, and the entries in the journal.
 
 use async_executor::LocalExecutor;
+use event_listener::Event;
 use futures_lite::future;
 use raildeal::admission_control::message_limits::Limits;
 use raildeal::config::Door;
@@ -10,8 +11,10 @@
 use raildeal::delivery::driver::{DispatcherDriver, DriverEffects};
 use raildeal::delivery::endpoint::{Endpoint, EndpointEntry, EndpointListUpdate};
 use raildeal::delivery::endpoint_directory::EndpointDirectory;
+use raildeal::delivery::finished_messages::FinishedMessages;
 use raildeal::delivery::journal::persistent_clock::PersistentClock;
 use raildeal::delivery::journal::{Durability, Journal, JournalOptions, MessageRecord, OpenRecord};
+use raildeal::delivery::message::held_messages::HeldMessages;
 use raildeal::delivery::message::{receive, resume, ClientReply, DeliveryContext, TimeBudget};
 use raildeal::delivery::policies::PolicySet;
 use raildeal::delivery::timer_wheel::TimerWheel;
@@ -25,7 +28,7 @@
     Class, Condition, DedupScope, DestinationKind, Dispatcher, Effect, Outcome, Settings,
 };
 use std::any::Any;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fs;
 use std::io;
@@ -107,6 +110,9 @@
     final_answers: RefCell<Vec<Verdict>>,
     /// Callback that runs when a message is registered under its id, before it is in the journal.
     on_registration: RefCell<Option<Box<dyn Fn()>>>,
+    /// Final answers wait to be heard as long as this is set.
+    is_deaf: Cell<bool>,
+    hears: Event,
 }
 
 impl Frontend for RecordingFrontend {
@@ -116,7 +122,11 @@
         answer: FinalAnswer,
     ) -> LocalBoxFuture<'a, ()> {
         self.final_answers.borrow_mut().push(answer.verdict);
-        Box::pin(async {})
+        Box::pin(async {
+            while self.is_deaf.get() {
+                self.hears.listen().await;
+            }
+        })
     }
 
     fn pending_answer_guard(&self, _: &Envelope) -> Option<Box<dyn Any>> {
@@ -186,6 +196,9 @@
     }
 }
 
+/// Messages that may be held or wait for their final answer to be heard.
+const MAX_MESSAGES: usize = 25;
+
 /// Message delivery with its journal in a folder, and its stand-ins.
 struct Fixture {
     context: Rc<DeliveryContext>,
@@ -241,7 +254,7 @@
             endpoint_client: endpoints.clone(),
             frontends: [(0, frontend.clone() as Rc<dyn Frontend>)].into(),
             wheel: wheel.clone(),
-            held_messages: Default::default(),
+            held_messages: Rc::new(HeldMessages::new(MAX_MESSAGES, FinishedMessages::default())),
             script_budget: Default::default(),
         });
         let running_wheel = wheel.clone();
@@ -659,3 +672,45 @@
         assert!(records.is_empty(), "closed");
     }
 }
+
+/// Guards against memory that grows with final answers that nobody hears.
+#[test]
+fn while_too_many_final_answers_wait_to_be_heard_new_messages_are_rejected() {
+    let (folder, executor) = (TempDir::new().expect("a folder"), LocalExecutor::new());
+    let outcomes = [Outcome::Delivered; MAX_MESSAGES + 1];
+    let setup = JournalOptions::new(1_000_000);
+    let fixture = Rc::new(Fixture::new(&folder, setup, &outcomes, &executor));
+    let answers = Rc::<RefCell<Vec<&'static str>>>::default();
+    let submit = |number: usize| {
+        let (fixture, reply) = (fixture.clone(), RecordingReply(answers.clone()));
+        let mut submission = message();
+        submission.envelope.id = format!("m{number}");
+        executor.spawn(async move { fixture.receive(submission, reply).await })
+    };
+    fixture.frontend.is_deaf.set(true);
+    async_io::block_on(executor.run(async {
+        let mut waiting = Vec::new();
+        for number in 0..MAX_MESSAGES {
+            waiting.push(submit(number));
+            while fixture.final_answers().len() <= number {
+                future::yield_now().await;
+            }
+        }
+        waiting.push(submit(MAX_MESSAGES));
+        while answers.borrow().len() <= MAX_MESSAGES {
+            future::yield_now().await;
+        }
+        assert_eq!(answers.borrow().last(), Some(&"rejected"));
+        assert_eq!(fixture.attempts().len(), MAX_MESSAGES);
+
+        fixture.frontend.is_deaf.set(false);
+        fixture.frontend.hears.notify(usize::MAX);
+        for message in waiting {
+            message.await;
+        }
+        submit(MAX_MESSAGES + 1).await;
+    }));
+
+    assert_eq!(answers.borrow().last(), Some(&"accepted"));
+    assert!(fixture.context.held_messages.is_empty());
+}
