--- a/tests/sockets/replaced_endpoints.rs
+++ b/tests/sockets/replaced_endpoints.rs
@@ -95,8 +95,9 @@
         .collect()
 }
 
-/// Replaces the process of an endpoint while calls to it are out; the list tells that in some way.
-fn replaced(told: impl FnOnce(&Rig<Http>, SocketAddr)) {
+/// Replaces the process of an endpoint while calls to it are out, at its address or another one; the
+/// list tells that in some way.
+fn replaced(moves: bool, told: impl FnOnce(&Rig<Http>, SocketAddr)) {
     let (sender, calls) = channel();
     let mut rig = Rig::<Http>::start(&[]);
     let anywhere = "127.0.0.1:0".parse().expect("an address");
@@ -108,7 +109,11 @@
     received(&calls, BEFORE - 1);
 
     old.stop_listening();
-    let new = start_at(old.address, &sender);
+    let new = if moves {
+        Process::start("new", anywhere, sender.clone())
+    } else {
+        start_at(old.address, &sender)
+    };
     told(&rig, new.address);
     thread::sleep(TOLD);
     while calls.try_recv().is_ok() {}
@@ -121,7 +126,7 @@
 /// Guards against calls to a process that is gone, where only the time of its start tells.
 #[test]
 fn a_new_start_of_the_same_endpoint_is_another_process() {
-    replaced(|rig, address| {
+    replaced(false, |rig, address| {
         let discovery = &rig.discovery;
         discovery.list_started("p", address, "a", "hook", "active", 2_000);
     });
@@ -130,9 +135,19 @@
 /// Guards against calls to a process that is gone, where another endpoint is listed at its address.
 #[test]
 fn a_new_endpoint_at_the_same_address_is_another_process() {
-    replaced(|rig, address| {
+    replaced(false, |rig, address| {
         let discovery = &rig.discovery;
         discovery.list_started("p", address, "a", "hook", "left", 1_000);
         discovery.list_started("q", address, "a", "hook", "active", 2_000);
     });
 }
+
+/// Guards against calls to an address that an endpoint has left, over connections on which a call was
+/// out when the list told it.
+#[test]
+fn an_endpoint_that_moves_while_calls_are_out_gets_nothing_at_its_old_address() {
+    replaced(true, |rig, address| {
+        let discovery = &rig.discovery;
+        discovery.list_started("p", address, "a", "hook", "active", 1_000);
+    });
+}
