Hand in new messages under new ids where the test of policies waits for the fence

The first copy was delivered, so that each further one is answered as delivered now, which is owed at any time and takes nothing on, as it was for held messages before.

Change: each message has an id of its own, as the protocol has it. What is checked is the same: a new message is refused once the lease has run out.

--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -13,7 +13,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -222,10 +222,13 @@
     wait("an accepted message", || {
         sender.hand_in("again", 0, Duration::from_secs(16), &heard)
     });
-    // An expired lease stops admission, and nothing else.
+    // An expired lease stops admission, and nothing else. Each message has an id of its own: one that
+    // comes again under the id of a delivered one is answered as delivered at any time.
     keeper.told().away = true;
+    let late = AtomicUsize::new(0);
     wait("fenced", || {
-        !sender.hand_in("late", 0, Duration::from_secs(16), &heard)
+        let id = format!("late-{}", late.fetch_add(1, Ordering::Relaxed));
+        !sender.hand_in(&id, 0, Duration::from_secs(16), &heard)
     });
     sender.tell_to_end();
     assert!(sender.ended_well());
