--- a/src/delivery/message/accept.rs
+++ b/src/delivery/message/accept.rs
@@ -5,7 +5,7 @@
 //! Once the client has received the answer that its message is accepted, `deliver` continues.
 //! Called by [`receive`](super::receive).
 
-use super::held_messages::{AcceptanceDecision, Duplicate, MessageIdGuard};
+use super::held_messages::{AcceptanceDecision, Duplicate, HeldMessages, MessageIdGuard};
 use super::in_delivery::MessageInDelivery;
 use super::{
     class_name, dispatcher_message, lacks_required_key, log_step, ClientReply, DeliveryContext,
@@ -156,13 +156,6 @@
     }
     let terms = checks.current_terms();
     submission.limit_time_left(&terms.policy.policy);
-    if held.is_full() {
-        checks.count_rejection(&identity, &terms, &Rejection::AnswersWaiting);
-        checks
-            .reject(&identity, &Rejection::AnswersWaiting, reply)
-            .await;
-        return None;
-    }
     let Some(id_guard) = held.register_new(&submission.envelope, &context.frontends) else {
         answer_concurrent_duplicate(context, &submission.envelope, reply).await;
         return None;
@@ -400,6 +393,7 @@
     pub(super) routing_tables: &'a RoutingTables,
     pub(super) admission: &'a Rc<Admission>,
     pub(super) client_quotas: &'a ClientQuotas,
+    pub(super) held_messages: &'a HeldMessages,
     pub(super) directory: &'a EndpointDirectory,
     pub(super) driver: &'a Rc<DispatcherDriver>,
     pub(super) class_names: &'a [String],
@@ -445,6 +439,9 @@
         if self.driver.held_count() >= policy.max_held_messages as usize {
             return Err(Rejection::NoCapacity);
         }
+        if self.held_messages.is_over_limit() {
+            return Err(Rejection::AnswersWaiting);
+        }
         self.client_quotas
             .check(&submission.client, envelope.class)
             .map_err(|(reason, retry_after)| Rejection::ClientQuota {
--- a/src/delivery/message/attempt.rs
+++ b/src/delivery/message/attempt.rs
@@ -91,9 +91,9 @@
         done.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// Closes the idle connections to an endpoint that is draining, replaced or no longer listed. This may
-    /// have happened while an attempt was in flight, and nothing else would close the connection
-    /// that the attempt has returned to the pool.
+    /// Closes the idle connections to an endpoint that is draining, replaced or no longer listed.
+    /// This may have happened while an attempt was in flight, and nothing else would close the
+    /// connection that the attempt has returned to the pool.
     fn close_if_not_ready(&self, address: EndpointAddress, endpoint: &Endpoint) {
         let listed = self.directory.endpoint(address);
         let is_ready = listed.is_some_and(|e| {
--- a/src/delivery/message/held_messages.rs
+++ b/src/delivery/message/held_messages.rs
@@ -90,6 +90,18 @@
     OtherMessage,
 }
 
+impl Duplicate {
+    /// Returns this kind for a repeat of the message with a fingerprint, else
+    /// [`Duplicate::OtherMessage`].
+    fn unless_other(self, of_first: u32, envelope: &Envelope) -> Self {
+        if of_first == fingerprint(envelope) {
+            self
+        } else {
+            Duplicate::OtherMessage
+        }
+    }
+}
+
 impl Default for HeldMessages {
     /// A table without a bound, which ends with the process.
     fn default() -> Self {
@@ -107,9 +119,9 @@
         }
     }
 
-    /// Whether no further message may be held.
-    pub fn is_full(&self) -> bool {
-        self.len() >= self.max_messages
+    /// Whether more messages are registered than may be held.
+    pub(super) fn is_over_limit(&self) -> bool {
+        self.len() > self.max_messages
     }
 
     /// Returns the number of ids of ended messages that are remembered.
@@ -131,11 +143,8 @@
 
     fn find_finished(&self, envelope: &Envelope) -> Option<Duplicate> {
         let finished = self.finished.find(&MessageKey::of(envelope))?;
-        if finished.fingerprint == fingerprint(envelope) {
-            Some(Duplicate::Finished(finished.ending))
-        } else {
-            Some(Duplicate::OtherMessage)
-        }
+        let duplicate = Duplicate::Finished(finished.ending);
+        Some(duplicate.unless_other(finished.fingerprint, envelope))
     }
 
     /// Returns the number of held messages.
@@ -148,8 +157,8 @@
         self.by_id.borrow().is_empty()
     }
 
-    /// Looks for a held or ended message with the same id. Waits for a decision if that message may still be
-    /// rejected: a client that is answered earlier would consider its message accepted.
+    /// Looks for a held or ended message with the same id. Waits for a decision if that message may
+    /// still be rejected: a client that is answered earlier would consider its message accepted.
     pub(super) async fn find_duplicate(
         &self,
         envelope: &Envelope,
@@ -162,11 +171,7 @@
         if held.decision.wait(wheel).await == AcceptanceDecision::Rejected {
             return None;
         }
-        if held.fingerprint == fingerprint(envelope) {
-            Some(Duplicate::SameMessage)
-        } else {
-            Some(Duplicate::OtherMessage)
-        }
+        Some(Duplicate::SameMessage.unless_other(held.fingerprint, envelope))
     }
 
     /// Registers a new message under its id. Returns `None` if a message with this id is held or
--- a/src/delivery/message/mod.rs
+++ b/src/delivery/message/mod.rs
@@ -291,6 +291,7 @@
             routing_tables: &self.routing_tables,
             admission: &self.admission,
             client_quotas: &self.client_quotas,
+            held_messages: &self.held_messages,
             directory: &self.directory,
             driver: &self.driver,
             class_names: &self.class_names,
--- a/src/net/platform/ingress.rs
+++ b/src/net/platform/ingress.rs
@@ -83,11 +83,6 @@
             _ => String::new(),
         }
     }
-
-    /// What the end of a read means: nothing of a request where the connection ended.
-    fn of_read(e: &io::Error) -> Option<Self> {
-        (e.kind() == io::ErrorKind::OutOfMemory).then_some(Refusal::NoMemory)
-    }
 }
 
 /// A request as it was read.
@@ -367,8 +362,8 @@
 /// Reads more of a request; false where the connection has ended.
 async fn fill(stream: &mut Stream) -> Result<bool, Refusal> {
     match stream.fill().await {
-        Ok(more) => Ok(more),
-        Err(e) => Refusal::of_read(&e).map_or(Ok(false), Err),
+        Err(e) if e.kind() == io::ErrorKind::OutOfMemory => Err(Refusal::NoMemory),
+        read => Ok(read.unwrap_or(false)),
     }
 }
 
--- a/tests/sockets/crowds.rs
+++ b/tests/sockets/crowds.rs
@@ -2,15 +2,13 @@
 //! least memory that the platform gives: it stays under its limit, and usual clients are answered
 //! in time.
 
-use crate::door::connect_from;
+use crate::door::{allow_descriptors, connect_from};
 use crate::http::{answer, header, request, Http};
 use crate::mqtt::publish;
-use crate::program::Program;
 use crate::rig::{message, Message};
 use crate::usual_clients::{usual_clients_beside, Node, ANSWER, USUAL};
 use mqtt_proto::v5::{Connect, Packet};
 use raildeal::net::mqtt::packets::encode;
-use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -153,25 +151,6 @@
     }
 }
 
-/// Lets this process hold the crowd's connections.
-fn allow_descriptors() {
-    let limit = getrlimit(Resource::Nofile);
-    let raised = Rlimit {
-        current: limit.maximum,
-        maximum: limit.maximum,
-    };
-    setrlimit(Resource::Nofile, raised).expect("a bound");
-}
-
-/// The most memory that a process ever held, in KiB.
-fn peak_kb(program: &Program) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", program.pid()));
-    let status = status.expect("a process");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = peak.and_then(|value| value.trim().strip_suffix(" kB"));
-    peak.expect("its memory").parse().expect("a number")
-}
-
 /// A crowd beside usual clients: the peak of the process's memory in KiB, and what they were
 /// answered.
 fn crowd_beside_usual_clients(sends: Sends) {
@@ -194,7 +173,7 @@
             stop.store(true, Ordering::Relaxed);
         });
     });
-    let peak_kb = peak_kb(&node.program);
+    let peak_kb = node.program.status_kb("VmHWM:");
     println!("{sends:?}: {at_rest_kb} KiB at rest, {peak_kb} KiB at the most, {answered:?}");
     assert!(
         peak_kb * 1024 <= MEMORY_MB * 1_000_000,
--- a/tests/sockets/door.rs
+++ b/tests/sockets/door.rs
@@ -143,8 +143,18 @@
     }
 }
 
+/// Lets this process hold as many connections as the system allows.
+pub fn allow_descriptors() {
+    let limit = getrlimit(Resource::Nofile);
+    let raised = Rlimit {
+        current: limit.maximum,
+        maximum: limit.maximum,
+    };
+    setrlimit(Resource::Nofile, raised).expect("a bound");
+}
+
 /// Delivers everything.
-fn deliver(calls: &Receiver<Call>, stop: &AtomicBool) {
+pub fn deliver(calls: &Receiver<Call>, stop: &AtomicBool) {
     while !stop.load(Ordering::Relaxed) {
         if let Ok(call) = calls.recv_timeout(5 * MS) {
             call.answer(Answer::Delivered);
@@ -789,15 +799,7 @@
     let Ok(sizes) = std::env::var("FLOOD") else {
         return;
     };
-    let limit = getrlimit(Resource::Nofile);
-    setrlimit(
-        Resource::Nofile,
-        Rlimit {
-            current: limit.maximum,
-            maximum: limit.maximum,
-        },
-    )
-    .expect("a bound");
+    allow_descriptors();
     for size in sizes
         .split(',')
         .map(|s| s.trim().parse::<usize>().expect("a number"))
--- a/tests/sockets/program.rs
+++ b/tests/sockets/program.rs
@@ -176,11 +176,16 @@
 
     /// Memory that it holds, in KiB.
     pub fn memory(&self) -> usize {
+        self.status_kb("VmRSS:")
+    }
+
+    /// A size that the system tells of it, in KiB.
+    pub fn status_kb(&self, field: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("a process");
         let line = status
             .lines()
-            .find_map(|l| l.strip_prefix("VmRSS:"))
+            .find_map(|l| l.strip_prefix(field))
             .expect("its memory");
         line.trim()
             .trim_end_matches(" kB")
--- a/tests/sockets/usual_clients.rs
+++ b/tests/sockets/usual_clients.rs
@@ -2,10 +2,11 @@
 //! accepted in time.
 
 use crate::discovery::Discovery;
+use crate::door::deliver;
 use crate::http::{header, read_head, request};
 use crate::mqtt::send;
 use crate::program::Program;
-use crate::rig::{message, settings, Answer, Call, Providers, Wire};
+use crate::rig::{message, settings, Call, Providers, Wire};
 use mqtt_proto::v5::{Connect, Packet};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -70,15 +71,6 @@
     }
 }
 
-/// Delivers all, as usual endpoints do.
-pub fn deliver(calls: &Receiver<Call>, stop: &AtomicBool) {
-    while !stop.load(Ordering::Relaxed) {
-        if let Ok(call) = calls.recv_timeout(5 * MS) {
-            call.answer(Answer::Delivered);
-        }
-    }
-}
-
 /// What usual clients were answered.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Answered {
