--- a/review/stand-2/cases.rs
+++ b/review/stand-2/cases.rs
@@ -1,7 +1,10 @@
 //! The cases, by number. What each shows is in `review/CASE/claim.txt`.
 
 mod bad_zone_start;
+mod deferred_again;
 mod half_zone;
+mod moved;
+mod platform;
 mod relisted;
 mod vanished_client;
 
@@ -13,10 +16,12 @@
 pub fn run(number: &str, trouble: bool) -> Case {
     match number {
         "6" => vanished_client::run(trouble),
-        "7" => half_zone::run(trouble),
-        "8" => bad_zone_start::run(trouble),
-        "9" => relisted::failback(trouble),
-        "10" => relisted::wait(trouble),
+        "7" => moved::run(trouble),
+        "8" => half_zone::run(trouble),
+        "9" => bad_zone_start::run(trouble),
+        "10" => relisted::failback(trouble),
+        "wait" => relisted::wait(trouble),
+        "deferred" => deferred_again::run(trouble),
         other => Err(format!("no case {other}")),
     }
 }
--- a/review/stand-2/cases/relisted.rs
+++ b/review/stand-2/cases/relisted.rs
@@ -1,93 +1,15 @@
 //! Discovery removes an endpoint and lists it again, with the same id.
 
-use super::{at, ms, verdict};
-use crate::directory::{Client, Directory, Listed};
+use super::platform::{directory, listed, load, start, RATE, STRUCK};
+use super::{at, verdict};
 use crate::endpoint::{Answer, Call, Endpoint};
-use crate::program::{copy_log, free_port, Folder, Program, Told};
+use crate::program::{copy_log, Folder};
 use crate::record::{now, say};
 use crate::Case;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The object that an instance receives, as the wire page lists it, for a sender on its own.
-const SETTINGS: &str = r#"{
- "balancers":1,"discovery":"subscribe","kinds":["major-partner","local-partner"],
- "localities":["edificio-a","edificio-b","edificio-c"],"weights":"rough","rank":0,
- "categories":[{"name":"portal-event","promise":3000000000,"deadline":16000000000,"effect":"token",
-   "dedupScope":"zone","window":10000000000,"points":1.0,"lateWorth":0.5}],
- "familyInfo":{"maxCalls":19,"kindApart":[true,true],"kindBatch":[1,1],"losesWorth":"halving","refusedPrice":0.03},
- "limits":{"maxAttempts":12,"openCap":109,"retryAfter":true,"maxRetryAfter":2000000000,
-   "idleClose":15000000000,"connectTimeout":1500000000,"cancel":true,"probes":false,"secondCopies":false},
- "rules":{"answerSlack":20000000,"coldShare":0.23,"mustAskIn":10000000000,"overloadFactor":2.0,
-   "overloadFor":3000000000,"stopSendingWithin":250000000,"warmAfter":13000000000}}"#;
-
-/// Destinations beside the one that is struck, so that it has a quarter of the traffic.
-const OTHERS: [u16; 3] = [8, 9, 10];
-/// The one that is struck.
-const STRUCK: u16 = 7;
-/// What each takes, in calls a second from all senders together.
-const RATE: f64 = 4.0;
-/// Messages for each of them, in a second: three quarters of that.
-const TRAFFIC: f64 = 3.0;
-
-fn listed(dest: u16, address: SocketAddr, state: &'static str) -> Listed {
-    Listed {
-        uid: format!("s-{dest}"),
-        address,
-        zone: "edificio-a".into(),
-        kind: "major-partner".into(),
-        dest,
-        state,
-        rate: RATE,
-        boot_ms: 0,
-    }
-}
-
-/// Discovery with the struck endpoint and the others, which always take what they get.
-fn directory(struck: &Endpoint) -> Result<Directory, String> {
-    let mut list = vec![listed(STRUCK, struck.address, "active")];
-    for dest in OTHERS {
-        let other = Endpoint::start(&format!("endpoint s-{dest}"), at("127.0.0.1", 0)?, |_, _| Answer::status(200, 150))?;
-        list.push(listed(dest, other.address, "active"));
-    }
-    Directory::start(list)
-}
-
-fn start(folder: &Folder, directory: &Directory) -> Result<(Program, Client), String> {
-    let port = free_port()?;
-    let config = folder.write(
-        "config.json",
-        &format!(
-            "{{\"name\":\"n1\",\"listen\":\"127.0.0.1:{port}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3}},\"known\":{},\"settings\":{SETTINGS}}}",
-            directory.address,
-            directory.known().trim()
-        ),
-    )?;
-    let mut program = Program::start(folder, &Told::Config(&config))?;
-    if !program.listens(at("127.0.0.1", port)?, Duration::from_secs(10))? {
-        return Err("the program does not listen".into());
-    }
-    ms(1_500);
-    Ok((program, Client::new(at("127.0.0.1", port)?)))
-}
-
-/// Hands messages in at a steady pace, for each destination in turn.
-fn load(client: &mut Client, name: &str, seconds: f64) {
-    let until = now() + seconds;
-    let dests = [&[STRUCK], &OTHERS[..]].concat();
-    for n in 0.. {
-        if now() >= until {
-            return;
-        }
-        let dest = dests[n % dests.len()];
-        client.hand_in("portal-event", dest, &format!("{name}-{n}"), 16_000);
-        std::thread::sleep(Duration::from_secs_f64(1.0 / TRAFFIC / dests.len() as f64));
-    }
-}
-
 /// A told wait lasts while the endpoint is removed and listed again.
 pub fn wait(trouble: bool) -> Case {
     const WAIT_S: f64 = 6.0;
@@ -107,7 +29,7 @@
         Answer { after: Duration::from_millis(20), status: 429, wait_ms: Some(open_at - now_ms) }
     })?;
     let directory = directory(&endpoint)?;
-    let (_program, mut client) = start(&folder, &directory)?;
+    let (_program, mut client, _) = start(&folder, &directory)?;
     load(&mut client, "before", 3.0);
     let shut = shut_at.load(Ordering::SeqCst);
     if shut == u64::MAX {
@@ -145,7 +67,7 @@
         if is_out { Answer::status(503, 20) } else { Answer::status(200, 150) }
     })?;
     let directory = directory(&endpoint)?;
-    let (_program, mut client) = start(&folder, &directory)?;
+    let (_program, mut client, _) = start(&folder, &directory)?;
     load(&mut client, "before", 4.0);
     fails.store((now() * 1_000.0) as u64, Ordering::SeqCst);
     say("endpoint s-7: shut");
--- a/review/stand-2/directory.rs
+++ b/review/stand-2/directory.rs
@@ -134,7 +134,8 @@
             } else {
                 state
             };
-            let text = if first && since == 0 {
+            // A version that it does not know yet: it is behind what the asker was told.
+            let text = if first && (since == 0 || since > state.rev) {
                 object(state.rev, true, &state.whole())
             } else if first || state.rev > told {
                 let news: Vec<Listed> = state.changes.iter().filter(|(rev, _)| *rev > told).map(|(_, l)| l.clone()).collect();
