--- a/review/stand-2/cases/stale_copy.rs
+++ b/review/stand-2/cases/stale_copy.rs
@@ -1,4 +1,4 @@
-//! A zone grows and removes an endpoint; the sender is restarted while the next zone file is half
+//! A zone grows and replaces an endpoint; the sender is restarted while the next zone file is half
 //! written, and begins with a copy of the zone before both.
 
 use super::{at, ms, verdict, SETTINGS};
@@ -16,17 +16,23 @@
 const AFTER: usize = 1_000;
 const TOPIC: &str = "answers/portal";
 
-/// A zone in which the shared address is an endpoint of this destination.
-fn zone(serial: u32, others: usize, stays: u16, shared: (u16, u16)) -> String {
-    let (dest, port) = shared;
+/// The zone: destination 7 has its endpoint at the shared address, or, once that was replaced, at its
+/// new one, and destination 8 has the shared address.
+fn zone(serial: u32, others: usize, shared: u16, replaced_by: Option<u16>) -> String {
+    let called = match replaced_by {
+        None => vec![(7, shared, "seven-a")],
+        Some(new) => vec![(7, new, "seven-b"), (8, shared, "eight")],
+    };
     let mut text = format!("$ORIGIN partners.oviedo.example.\n@ 60 IN SOA ns mail {serial} 3600 600 86400 60\n");
-    text += &format!("_raildeal._tcp.7 60 IN SRV 0 0 {stays} seven-a\n_raildeal._tcp.{dest} 60 IN SRV 0 0 {port} of-{dest}\n");
+    for (dest, port, host) in &called {
+        text += &format!("_raildeal._tcp.{dest} 60 IN SRV 0 0 {port} {host}\n");
+    }
     for n in 0..others {
         text += &format!("_raildeal._tcp.{} 60 IN SRV 0 0 443 host-{n}\n", 100 + n);
     }
-    let hosts = ["seven-a".to_string(), format!("of-{dest}")].into_iter();
-    for (n, host) in hosts.chain((0..others).map(|n| format!("host-{n}"))).enumerate() {
-        let address = if n < 2 { "127.0.0.1".to_string() } else { format!("127.0.{}.{}", 1 + n / 250, 1 + n % 250) };
+    let called = called.iter().map(|(_, _, host)| (host.to_string(), "127.0.0.1".to_string()));
+    let others = (0..others).map(|n| (format!("host-{n}"), format!("127.0.{}.{}", 1 + n / 250, 1 + n % 250)));
+    for (host, address) in called.chain(others) {
         text += &format!("{host} 60 IN A {address}\n{host} 60 IN TXT \"zone=edificio-a\" \"kind=major-partner\" \"rate=20\"\n");
     }
     text
@@ -41,10 +47,10 @@
 pub fn run(trouble: bool) -> Case {
     let folder = Folder::new()?;
     let takes = |name: &str| Endpoint::start(name, at("127.0.0.1", 0)?, |_, _| Answer::status(200, 50));
-    let (stays, shared) = (takes("endpoint seven-a")?, takes("endpoint at the shared address")?);
-    let (stays_at, shared_at) = (stays.address.port(), shared.address.port());
+    let (new, shared) = (takes("endpoint seven-b")?, takes("endpoint at the shared address")?);
+    let (new_at, shared_at) = (Some(new.address.port()), shared.address.port());
     let port = free_port()?;
-    let file = folder.write("partners.zone", &zone(7, BEFORE, stays_at, (7, shared_at)))?;
+    let file = folder.write("partners.zone", &zone(7, BEFORE, shared_at, None))?;
     let settings = folder.write(
         "sender.toml",
         &format!(
@@ -73,17 +79,17 @@
     let (program, client) = start()?;
     hand_in(&client, "before")?;
     if shared.calls().is_empty() {
-        return Err("the second endpoint of destination 7 was never called".into());
+        return Err("the endpoint of destination 7 was never called".into());
     }
-    // The zone grows; the second endpoint of destination 7 is removed, and destination 8 has its address.
-    replace(&folder, &file, &zone(8, AFTER, stays_at, (8, shared_at)))?;
+    // The zone grows; the endpoint of destination 7 is replaced, and destination 8 has its address.
+    replace(&folder, &file, &zone(8, AFTER, shared_at, new_at))?;
     say("zone 8 is in place: the shared address is destination 8's");
     program.signal("HUP");
     ms(2_000);
     let told = now();
     hand_in(&client, "removed")?;
     program.kill();
-    let next = zone(9, AFTER, stays_at, (8, shared_at));
+    let next = zone(9, AFTER, shared_at, new_at);
     if trouble {
         fs::write(&file, &next[..next.len() / 2]).map_err(|e| e.to_string())?;
         say("zone 9 is half written");
