Keep a copy of zones of up to the largest fleet, so that no start ends for want of one

Cause: the copy of the zone in the state folder may take a sixteenth of limits.disk_mb, 184 KB of the platform's 3 MB. That is some 800 endpoints as text; a larger zone had no copy, and a start without copy and zone file ends with the fault where nothing is owed.

Evidence: the log of that start says "no address in this zone" and nothing of a copy; the same with 100 endpoints goes on. The new test fails on the program before, and shows one thing more: a copy was written after its zone counted, so that a kill in between left the older one at any size.

Change: a copy that is too large as text is compressed (zlib by flate2), with a line that tells origin, serial and digest of its zone. 3,200 endpoints with random names and addresses fit. The copy is written before its zone counts. A start without any usable zone ends with the fault only where the folder tells of no earlier process that had one: otherwise it waits for SIGHUP, as it did where answers are owed. A zone is read, checked, copied and listed on its own thread; the event loop clones no zone any more.

--- a/src/net/dns/mod.rs
+++ b/src/net/dns/mod.rs
@@ -6,4 +6,5 @@
 pub mod zone;
 pub mod zone_cache;
 pub mod zone_file;
+pub mod zone_identity;
 pub mod zones;
--- a/src/net/dns/zone.rs
+++ b/src/net/dns/zone.rs
@@ -8,7 +8,7 @@
 use crate::Condition;
 use hickory_proto::rr::rdata::{SRV, TXT};
 use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordType};
-use hickory_proto::serialize::txt::Parser;
+use hickory_proto::serialize::txt::{ParseError, Parser};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
@@ -22,6 +22,25 @@
     RecordType::TXT,
 ];
 
+/// Reason why a text is not a zone that can be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ZoneError {
+    /// An entry cannot be parsed.
+    #[error("line {line}: {source}")]
+    Line {
+        /// Line in which the entry begins.
+        line: usize,
+        /// Error of the parser.
+        source: ParseError,
+    },
+    /// The zone has so many SOA records.
+    #[error("{0} SOA records where one is needed")]
+    Soa(usize),
+    /// A record cannot be kept or used.
+    #[error("{0}")]
+    Record(String),
+}
+
 /// A zone's records, each once.
 #[derive(Clone, Debug)]
 pub struct Zone {
@@ -32,10 +51,14 @@
 }
 
 impl Zone {
-    /// Reads a zone file; what is wrong is told with its line, or with the record's name.
-    pub fn read(text: &str, origin: Option<&Name>) -> Result<Self, String> {
+    /// Reads the text of a zone file.
+    ///
+    /// # Errors
+    /// The text is cut or not a zone that can be used. The error begins with the line, where one
+    /// line is at fault.
+    pub fn read(text: &str, origin: Option<&Name>) -> Result<Self, ZoneError> {
         let parse = |text: &str| Parser::new(text.to_string(), None, origin.cloned()).parse();
-        let (_, sets) = parse(text).map_err(|e| {
+        let (_, sets) = parse(text).map_err(|source| {
             // The parser tells no line: it is the last one with which the file cannot be read,
             // whatever follows.
             let ends: Vec<usize> = text
@@ -47,24 +70,25 @@
                 .iter()
                 .rposition(|end| parse(&text[..*end]).is_ok())
                 .map_or(0, |good| good + 1);
-            format!("line {}: {e}", bad + 1)
+            let line = bad + 1;
+            ZoneError::Line { line, source }
         })?;
         let records: Vec<Record> = sets
-            .values()
-            .flat_map(|set| set.records_without_rrsigs().cloned().collect::<Vec<_>>())
+            .into_values()
+            .flat_map(|set| set.into_parts().records)
             .collect();
         let soas: Vec<&Record> = records
             .iter()
             .filter(|r| r.record_type() == RecordType::SOA)
             .collect();
         let [soa] = soas[..] else {
-            return Err(format!("{} SOA records where one is needed", soas.len()));
+            return Err(ZoneError::Soa(soas.len()));
         };
         let zone = Zone {
             origin: soa.name().clone(),
             records,
         };
-        zone.check()?;
+        zone.check().map_err(ZoneError::Record)?;
         Ok(zone)
     }
 
--- a/src/net/dns/zone_cache.rs
+++ b/src/net/dns/zone_cache.rs
@@ -1,7 +1,9 @@
-//! The copy of the zone in use that the state folder keeps for the next process.
+//! What the state folder keeps of the zone in use for the next process: its identity, and a copy of
+//! it where there is room.
 //!
 //! A process that starts while the operator's zone file is half written, or is older than the zone
-//! that was in use, begins with this copy. It is the file `zone` in the state folder:
+//! that was in use, begins with the copy. It is the file `zone` in the state folder, in one of two
+//! forms:
 //!
 //! ```text
 //! raildeal zone 1 CRC-32 of all that follows this line, as eight hexadecimal digits
@@ -9,20 +11,36 @@
 //! the zone, as a zone file
 //! ```
 //!
-//! The file's modification time is when a process last had the zone in use. Versions that do not
-//! know the file leave it as it is.
+//! ```text
+//! raildeal zone 2 CRC-32 of all that follows this line, as eight hexadecimal digits
+//! path of the operator's zone file
+//! identity of the zone
+//! the zone, as a zone file that is compressed (zlib, RFC 1950), or nothing
+//! ```
+//!
+//! The second form is for a zone that is too large for the first one; versions that do not know it
+//! take it for a damaged copy. The file's modification time is when a process last had the zone in
+//! use.
 
-use super::zone::Zone;
+use super::zone::{Zone, ZoneError};
+use super::zone_identity::ZoneIdentity;
 use crate::durable_file;
+use flate2::read::ZlibDecoder;
+use flate2::write::ZlibEncoder;
+use flate2::Compression;
 use std::fs::{self, File};
-use std::io;
+use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
 /// Name of the copy in the state folder.
 pub const FILE_NAME: &str = "zone";
-/// Beginning of the first line, with the version of the format.
-const HEADER_START: &str = "raildeal zone 1 ";
+/// Beginning of the first line of a copy as it is.
+const PLAIN_HEADER: &str = "raildeal zone 1 ";
+/// Beginning of the first line of a compressed copy, and of an identity alone.
+const COMPRESSED_HEADER: &str = "raildeal zone 2 ";
+/// Largest text that is compressed, in bytes, so that reading it back takes bounded memory.
+const MAX_TEXT_BYTES: u64 = 16 << 20;
 /// Fraction of the folder's limit that a copy may take: one in so many.
 const MAX_FRACTION: u64 = 16;
 /// Block size of the file system, in bytes: files occupy whole blocks.
@@ -56,12 +74,36 @@
         /// Bytes that it may take now.
         allowed_bytes: u64,
     },
+    /// Only the identity of the zone is kept.
+    #[error("{FILE_NAME}: no copy of serial {serial} was kept")]
+    IdentityOnly {
+        /// Serial of the zone.
+        serial: u32,
+    },
     /// This version cannot use the zone.
     #[error("{FILE_NAME}: {0}")]
-    Zone(String),
+    Zone(#[source] ZoneError),
+}
+
+/// The zone that was in use last.
+#[derive(Debug)]
+pub struct LastZone {
+    /// Which zone it was.
+    pub identity: ZoneIdentity,
+    /// The zone, where a copy can be used.
+    pub copy: Result<Zone, ZoneCacheError>,
 }
 
-/// The copy in a state folder.
+/// What was kept of a zone.
+#[derive(Debug)]
+pub enum Kept {
+    /// A copy.
+    Copy,
+    /// Less than a copy, for this reason.
+    Less(ZoneCacheError),
+}
+
+/// The file in a state folder.
 #[derive(Clone, Debug)]
 pub struct ZoneCache {
     folder: PathBuf,
@@ -84,52 +126,41 @@
         2 * max_copy_bytes(folder_limit_bytes)
     }
 
-    /// Reads the copy; `None` where there is none.
+    /// Reads which zone was in use last, and its copy; `None` where nothing is kept.
     ///
     /// # Errors
-    /// The copy cannot be used.
-    pub fn read(&self, now: SystemTime) -> Result<Option<Zone>, ZoneCacheError> {
-        let text = match fs::read_to_string(self.path()) {
+    /// Something is kept, but does not tell which zone it is of.
+    pub fn read(&self, now: SystemTime) -> Result<Option<LastZone>, ZoneCacheError> {
+        let bytes = match fs::read(self.path()) {
             Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
-            Err(e) if e.kind() == io::ErrorKind::InvalidData => {
-                return Err(ZoneCacheError::Damaged)
-            }
-            text => text?,
+            bytes => bytes?,
         };
-        let (zone_file, zone) = decode(&text).ok_or(ZoneCacheError::Damaged)?;
-        if zone_file != self.zone_file_name() {
+        let content = decode(&bytes).ok_or(ZoneCacheError::Damaged)?;
+        if content.zone_file != self.zone_file_name().as_bytes() {
+            let zone_file = String::from_utf8_lossy(content.zone_file);
             return Err(ZoneCacheError::OtherZoneFile(zone_file.into()));
         }
+        let mut last = content.last_zone()?;
         let last_used = fs::metadata(self.path())?.modified()?;
         // A clock that was set back makes no copy old.
         let age = now.duration_since(last_used).unwrap_or_default();
         if age > MAX_AGE {
-            return Err(ZoneCacheError::TooOld { age });
+            last.copy = last.copy.and(Err(ZoneCacheError::TooOld { age }));
         }
-        Zone::read(zone, None)
-            .map(Some)
-            .map_err(ZoneCacheError::Zone)
+        Ok(Some(last))
     }
 
-    /// Writes the copy durably, unless the folder has this very copy already.
+    /// Keeps a zone durably, before it counts.
     ///
     /// # Errors
-    /// The copy does not fit in the folder, or the file system fails. The old copy stays.
-    pub fn write(&self, zone: &Zone) -> Result<(), ZoneCacheError> {
-        let copy = encode(&self.zone_file_name(), &zone.text());
-        if fs::read(self.path()).is_ok_and(|present| present == copy.as_bytes()) {
-            return self.note_use();
+    /// The zone cannot be kept.
+    pub fn write(&self, zone: &Zone) -> Result<Kept, ZoneCacheError> {
+        let text = zone.text();
+        let identity = ZoneIdentity::new(zone, &text);
+        match self.write_copy(&identity, &text) {
+            Ok(()) => Ok(Kept::Copy),
+            Err(no_copy) => Ok(Kept::Less(no_copy)),
         }
-        let needed_bytes = copy.len() as u64;
-        let allowed_bytes = max_copy_bytes(self.folder_limit_bytes).min(self.free_bytes()?);
-        if needed_bytes > allowed_bytes {
-            return Err(ZoneCacheError::NoRoom {
-                needed_bytes,
-                allowed_bytes,
-            });
-        }
-        durable_file::replace(&self.path(), copy.as_bytes())?;
-        Ok(())
     }
 
     /// Removes the copy of a folder whose process has no zone, so that the journal has its room.
@@ -143,6 +174,33 @@
         }
     }
 
+    /// Writes the copy, unless the folder has this very copy already.
+    fn write_copy(&self, identity: &ZoneIdentity, text: &str) -> Result<(), ZoneCacheError> {
+        let largest_bytes = max_copy_bytes(self.folder_limit_bytes);
+        let mut copy = encode_plain(&self.zone_file_name(), text);
+        if copy.len() as u64 > largest_bytes {
+            copy = encode(&self.zone_file_name(), identity, &compress(text)?);
+        }
+        if fs::read(self.path()).is_ok_and(|present| present == copy) {
+            return self.note_use();
+        }
+        self.replace(&copy, largest_bytes)
+    }
+
+    /// Replaces the file, if it takes no more than `largest_bytes` and no more than is free.
+    fn replace(&self, bytes: &[u8], largest_bytes: u64) -> Result<(), ZoneCacheError> {
+        let needed_bytes = bytes.len() as u64;
+        let allowed_bytes = largest_bytes.min(self.free_bytes()?);
+        if needed_bytes > allowed_bytes {
+            return Err(ZoneCacheError::NoRoom {
+                needed_bytes,
+                allowed_bytes,
+            });
+        }
+        durable_file::replace(&self.path(), bytes)?;
+        Ok(())
+    }
+
     fn note_use(&self) -> Result<(), ZoneCacheError> {
         let file = File::options().write(true).open(self.path())?;
         file.set_modified(SystemTime::now())?;
@@ -177,20 +235,110 @@
     blocks.max(1) * BLOCK_BYTES
 }
 
-fn encode(zone_file: &str, zone: &str) -> String {
-    let content = format!("{zone_file}\n{zone}");
-    let checksum = crc32fast::hash(content.as_bytes());
-    format!("{HEADER_START}{checksum:08x}\n{content}")
+fn encode_plain(zone_file: &str, text: &str) -> Vec<u8> {
+    with_header(PLAIN_HEADER, format!("{zone_file}\n{text}").into_bytes())
+}
+
+fn encode(zone_file: &str, identity: &ZoneIdentity, compressed: &[u8]) -> Vec<u8> {
+    let mut content = format!("{zone_file}\n{identity}\n").into_bytes();
+    content.extend_from_slice(compressed);
+    with_header(COMPRESSED_HEADER, content)
+}
+
+fn with_header(header_start: &str, content: Vec<u8>) -> Vec<u8> {
+    let checksum = crc32fast::hash(&content);
+    let mut bytes = format!("{header_start}{checksum:08x}\n").into_bytes();
+    bytes.extend(content);
+    bytes
+}
+
+fn compress(text: &str) -> Result<Vec<u8>, ZoneCacheError> {
+    if text.len() as u64 > MAX_TEXT_BYTES {
+        return Err(ZoneCacheError::NoRoom {
+            needed_bytes: text.len() as u64,
+            allowed_bytes: MAX_TEXT_BYTES,
+        });
+    }
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(text.as_bytes())?;
+    Ok(encoder.finish()?)
+}
+
+fn decompress(compressed: &[u8]) -> Result<String, ZoneCacheError> {
+    let mut text = String::new();
+    ZlibDecoder::new(compressed)
+        .take(MAX_TEXT_BYTES)
+        .read_to_string(&mut text)?;
+    Ok(text)
+}
+
+/// What the file holds.
+struct Content<'a> {
+    zone_file: &'a [u8],
+    zone: KeptZone<'a>,
 }
 
-/// Returns the path and the zone of a copy; `None` where it is incomplete or damaged.
-fn decode(copy: &str) -> Option<(&str, &str)> {
-    let (header, content) = copy.split_once('\n')?;
-    let checksum = u32::from_str_radix(header.strip_prefix(HEADER_START)?, 16).ok()?;
-    if checksum != crc32fast::hash(content.as_bytes()) {
+/// What the file holds of a zone.
+enum KeptZone<'a> {
+    /// Its text.
+    Plain(&'a [u8]),
+    /// Its identity, and its compressed text if there is any.
+    Compressed(&'a [u8], &'a [u8]),
+}
+
+/// Returns the content of a file; `None` where it is incomplete or damaged.
+fn decode(bytes: &[u8]) -> Option<Content<'_>> {
+    let (header, content) = split_line(bytes)?;
+    let header = std::str::from_utf8(header).ok()?;
+    let is_plain = header.starts_with(PLAIN_HEADER);
+    let header_start = if is_plain {
+        PLAIN_HEADER
+    } else {
+        COMPRESSED_HEADER
+    };
+    let checksum = u32::from_str_radix(header.strip_prefix(header_start)?, 16).ok()?;
+    if checksum != crc32fast::hash(content) {
         return None;
     }
-    content.split_once('\n')
+    let (zone_file, zone) = split_line(content)?;
+    let zone = if is_plain {
+        KeptZone::Plain(zone)
+    } else {
+        let (identity, compressed) = split_line(zone)?;
+        KeptZone::Compressed(identity, compressed)
+    };
+    Some(Content { zone_file, zone })
+}
+
+fn split_line(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let end = bytes.iter().position(|byte| *byte == b'\n')?;
+    Some((&bytes[..end], &bytes[end + 1..]))
+}
+
+impl Content<'_> {
+    fn last_zone(&self) -> Result<LastZone, ZoneCacheError> {
+        match self.zone {
+            KeptZone::Plain(text) => {
+                let text = std::str::from_utf8(text).map_err(|_| ZoneCacheError::Damaged)?;
+                let zone = Zone::read(text, None).map_err(ZoneCacheError::Zone)?;
+                Ok(LastZone {
+                    identity: ZoneIdentity::new(&zone, text),
+                    copy: Ok(zone),
+                })
+            }
+            KeptZone::Compressed(identity, compressed) => {
+                let line = std::str::from_utf8(identity).map_err(|_| ZoneCacheError::Damaged)?;
+                let identity: ZoneIdentity = line.parse().map_err(|_| ZoneCacheError::Damaged)?;
+                let serial = identity.serial;
+                let copy = match compressed {
+                    [] => Err(ZoneCacheError::IdentityOnly { serial }),
+                    compressed => decompress(compressed)
+                        .and_then(|text| Zone::read(&text, None).map_err(ZoneCacheError::Zone)),
+                };
+                Ok(LastZone { identity, copy })
+            }
+        }
+    }
 }
 
 #[cfg(test)]
--- a/src/net/dns/zone_cache/tests.rs
+++ b/src/net/dns/zone_cache/tests.rs
@@ -19,8 +19,10 @@
 }
 
 fn read(cache: &ZoneCache) -> Result<Option<u32>, ZoneCacheError> {
-    let zone = cache.read(SystemTime::now())?;
-    Ok(zone.map(|zone| zone.serial()))
+    let Some(last) = cache.read(SystemTime::now())? else {
+        return Ok(None);
+    };
+    last.copy.map(|zone| Some(zone.serial()))
 }
 
 #[test]
@@ -91,13 +93,15 @@
     let folder = TempDir::new().expect("a folder");
     let cache = cache(&folder);
     cache.write(&zone(7)).expect("written");
-    let later = |time| cache.read(SystemTime::now() + time);
-    assert!(later(MAX_AGE - Duration::from_secs(60)).is_ok());
-    let too_old = later(MAX_AGE + Duration::from_secs(60));
+    let at = |time| {
+        let last = cache.read(time).expect("an identity");
+        last.expect("an identity").copy
+    };
+    assert!(at(SystemTime::now() + MAX_AGE - Duration::from_secs(60)).is_ok());
+    let too_old = at(SystemTime::now() + MAX_AGE + Duration::from_secs(60));
     assert!(matches!(too_old, Err(ZoneCacheError::TooOld { .. })));
     // A clock that was set back.
-    let earlier = cache.read(SystemTime::now() - MAX_AGE * 2);
-    assert!(matches!(earlier, Ok(Some(_))));
+    assert!(at(SystemTime::now() - MAX_AGE * 2).is_ok());
     // Writing the same zone notes its use.
     let file = File::options().write(true).open(cache.path());
     let long_ago = SystemTime::now() - MAX_AGE * 2;
@@ -115,18 +119,73 @@
     let journal = vec![0; LIMIT_BYTES as usize];
     fs::write(folder.path().join("0000.seg"), journal).expect("written");
     let full = cache.write(&zone(8));
-    assert!(matches!(full, Err(ZoneCacheError::NoRoom { .. })));
+    assert!(matches!(
+        full,
+        Ok(Kept::Less(ZoneCacheError::NoRoom { .. }))
+    ));
     assert!(matches!(read(&cache), Ok(Some(7))));
     fs::remove_file(folder.path().join("0000.seg")).expect("removed");
     cache.write(&zone(8)).expect("written");
+    assert!(matches!(read(&cache), Ok(Some(8))));
     let narrow = ZoneCache::new(folder.path(), Path::new("/etc/partners.zone"), 8192);
-    let hosts: String = (0..200)
-        .map(|host| format!("h{host} 60 IN A 127.0.0.1\n"))
-        .collect();
-    let text = format!("$ORIGIN x.example.\n@ 60 IN SOA ns mail 9 1 1 1 1\n{hosts}");
-    let large = Zone::read(&text, None).expect("a zone");
+    let large = sized_zone(9, 200);
     assert!(matches!(
         narrow.write(&large),
-        Err(ZoneCacheError::NoRoom { .. })
+        Ok(Kept::Less(ZoneCacheError::NoRoom { .. }))
     ));
 }
+
+/// A zone of so many endpoints, with names and addresses that compress as badly as real ones.
+fn sized_zone(serial: u32, endpoints: usize) -> Zone {
+    let mut random = fastrand::Rng::with_seed(7);
+    let mut text = format!("$ORIGIN partners.x.example.\n@ 60 IN SOA ns mail {serial} 1 1 1 1\n");
+    for endpoint in 0..endpoints {
+        let name: String = (0..10).map(|_| random.lowercase()).collect();
+        let address = std::net::Ipv4Addr::from(random.u32(..));
+        let port = random.u16(1024..);
+        text += &format!(
+            "_raildeal._tcp.{} 60 IN SRV 0 0 {port} {name}\n{name} 60 IN A {address}\n\
+             {name} 60 IN TXT \"zone=edificio-a\" \"kind=major-partner\" \"rate=4\"\n",
+            endpoint / 2
+        );
+    }
+    Zone::read(&text, None).expect("a zone")
+}
+
+#[test]
+fn a_zone_of_the_largest_fleet_is_copied_on_the_disk_of_the_platform() {
+    // review/10: no copy was kept of a zone of some 800 endpoints or more.
+    for endpoints in [50, 800, 3_200] {
+        let folder = TempDir::new().expect("a folder");
+        let cache = cache(&folder);
+        let zone = sized_zone(7, endpoints);
+        assert!(matches!(cache.write(&zone), Ok(Kept::Copy)), "{endpoints}");
+        let last = cache.read(SystemTime::now()).expect("a copy");
+        let copy = last.expect("a copy").copy.expect("a copy");
+        assert_eq!(copy.text(), zone.text());
+        let copy_bytes = fs::metadata(cache.path()).expect("a file").len();
+        assert!(2 * copy_bytes <= ZoneCache::reserved_bytes(LIMIT_BYTES));
+    }
+}
+
+#[test]
+fn a_compressed_copy_cut_or_changed_anywhere_is_never_used() {
+    let folder = TempDir::new().expect("a folder");
+    let cache = ZoneCache::new(
+        folder.path(),
+        Path::new("/etc/partners.zone"),
+        8192 * MAX_FRACTION,
+    );
+    let zone = sized_zone(7, 50);
+    assert!(matches!(cache.write(&zone), Ok(Kept::Copy)));
+    let whole = fs::read(cache.path()).expect("a file");
+    assert!(whole.starts_with(COMPRESSED_HEADER.as_bytes()));
+    for at in 0..whole.len() {
+        fs::write(cache.path(), &whole[..at]).expect("written");
+        assert!(read(&cache).is_err(), "cut at {at}");
+        let mut changed = whole.clone();
+        changed[at] ^= 4;
+        fs::write(cache.path(), &changed).expect("written");
+        assert!(read(&cache).is_err(), "changed at {at}");
+    }
+}
--- a/src/net/dns/zone_file.rs
+++ b/src/net/dns/zone_file.rs
@@ -1,6 +1,6 @@
 //! An operator's zone file: reads it within a bound, and replaces it durably.
 
-use super::zone::Zone;
+use super::zone::{Zone, ZoneError};
 use crate::durable_file;
 use std::fs::File;
 use std::io::{self, Read};
@@ -32,7 +32,7 @@
         /// The file.
         path: PathBuf,
         /// What is wrong, with its line or with the record's name.
-        fault: String,
+        fault: ZoneError,
     },
 }
 
--- /dev/null
+++ b/src/net/dns/zone_identity.rs
@@ -0,0 +1,101 @@
+//! Which zone was in use, in a few bytes: enough to tell whether another one may take its place.
+
+use super::update::is_newer;
+use super::zone::Zone;
+use hickory_proto::rr::Name;
+use std::fmt;
+use std::str::FromStr;
+
+/// Identity of one version of a zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneIdentity {
+    /// Apex of the zone.
+    pub origin: Name,
+    /// Its version.
+    pub serial: u32,
+    /// Size of its [text](Zone::text), in bytes.
+    text_bytes: u64,
+    /// CRC-32 of that text.
+    text_checksum: u32,
+}
+
+/// How a zone stands to the one that was in use before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Succession {
+    /// It is that zone, unchanged.
+    Same,
+    /// Its serial is newer.
+    Newer,
+    /// It has another origin, and so a serial that cannot be compared.
+    OtherZone,
+    /// Its serial is older: it has been replaced.
+    Older,
+    /// It has the same serial and another content.
+    SameSerial,
+}
+
+impl Succession {
+    /// Whether the zone takes the place of the one before.
+    pub fn replaces(self) -> bool {
+        matches!(self, Succession::Newer | Succession::OtherZone)
+    }
+}
+
+impl ZoneIdentity {
+    /// Returns the identity of a zone with this text.
+    pub fn new(zone: &Zone, text: &str) -> Self {
+        ZoneIdentity {
+            origin: zone.origin.clone(),
+            serial: zone.serial(),
+            text_bytes: text.len() as u64,
+            text_checksum: crc32fast::hash(text.as_bytes()),
+        }
+    }
+
+    /// Returns how a zone of the identity `next` stands to a zone of this one.
+    pub fn succession(&self, next: &ZoneIdentity) -> Succession {
+        if next.origin != self.origin {
+            Succession::OtherZone
+        } else if is_newer(next.serial, self.serial) {
+            Succession::Newer
+        } else if next.serial != self.serial {
+            Succession::Older
+        } else if next == self {
+            Succession::Same
+        } else {
+            Succession::SameSerial
+        }
+    }
+}
+
+/// One line: origin, serial, bytes and checksum, separated by spaces.
+impl fmt::Display for ZoneIdentity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (origin, serial) = (&self.origin, self.serial);
+        let (bytes, checksum) = (self.text_bytes, self.text_checksum);
+        write!(f, "{origin} {serial} {bytes} {checksum:08x}")
+    }
+}
+
+/// A text is not the line of an identity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not the identity of a zone")]
+pub struct NotAnIdentity;
+
+impl FromStr for ZoneIdentity {
+    type Err = NotAnIdentity;
+
+    fn from_str(line: &str) -> Result<Self, NotAnIdentity> {
+        // A name may hold spaces, the numbers do not.
+        let fields: Vec<&str> = line.rsplitn(4, ' ').collect();
+        let [checksum, bytes, serial, origin] = fields[..] else {
+            return Err(NotAnIdentity);
+        };
+        Ok(ZoneIdentity {
+            origin: Name::from_ascii(origin).map_err(|_| NotAnIdentity)?,
+            serial: serial.parse().map_err(|_| NotAnIdentity)?,
+            text_bytes: bytes.parse().map_err(|_| NotAnIdentity)?,
+            text_checksum: u32::from_str_radix(checksum, 16).map_err(|_| NotAnIdentity)?,
+        })
+    }
+}
--- a/src/net/dns/zones.rs
+++ b/src/net/dns/zones.rs
@@ -1,38 +1,42 @@
 //! Owner of the zone in use: which zone a process begins with, and how it changes.
 //!
 //! A zone comes from the operator's zone file, at the start and at SIGHUP, or from a signed update.
-//! It counts only if all of it can be used and its serial is newer than that of the zone in use;
-//! the copy in the state folder ([`ZoneCache`]) extends this rule to the next process.
+//! It counts only if all of it can be used, its serial is newer than that of the zone in use, and
+//! the state folder keeps no earlier zone ([`ZoneCache`]): so the rule also holds for the next
+//! process.
 //!
 //! Files are read and written by a thread of their own, so that neither a slow disk nor a large zone
 //! delays a message.
 
-use super::update::{self, is_newer};
+use super::update;
 use super::zone::Zone;
-use super::zone_cache::{ZoneCache, ZoneCacheError};
+use super::zone_cache::{Kept, LastZone, ZoneCache, ZoneCacheError};
 use super::zone_file::{self, ZoneFileError};
+use super::zone_identity::{Succession, ZoneIdentity};
 use crate::delivery::driver::DispatcherDriver;
-use crate::delivery::endpoint::EndpointListUpdate;
+use crate::delivery::endpoint::{EndpointEntry, EndpointListUpdate};
 use crate::delivery::timer_wheel::TimerWheel;
 use async_lock::Mutex;
 use hickory_proto::op::{Message, ResponseCode};
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, SystemTime};
 
 /// Interval at which the copy's time of use is noted, and a copy that failed is written again.
 const CACHE_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Reason why a process has no zone to begin with.
+/// Reason why a process has no zone to begin with, and no earlier one had.
 #[derive(Debug, thiserror::Error)]
 pub enum NoZoneError {
     /// The zone file cannot be used, and there is no copy.
     #[error("dns.zone_file: {0}")]
     ZoneFile(ZoneFileError),
-    /// Neither the zone file nor the copy can be used.
+    /// The zone file cannot be used, and the copy is of another one.
     #[error("dns.zone_file: {file}; its copy: {copy}")]
     ZoneFileAndCopy {
         /// What is wrong with the zone file.
@@ -42,12 +46,77 @@
     },
 }
 
+/// Reason why a zone does not count.
+#[derive(Debug, thiserror::Error)]
+enum NotAppliedError {
+    /// The zone file cannot be used.
+    #[error(transparent)]
+    File(#[from] ZoneFileError),
+    /// It does not replace the zone that was in use last.
+    #[error(transparent)]
+    NotNewer(#[from] NotNewerError),
+    /// An earlier zone stays in the state folder.
+    #[error("{0}; an earlier zone is kept in the state folder")]
+    EarlierZoneKept(ZoneCacheError),
+    /// No thread could be started.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// A zone does not replace the one that was in use last.
+#[derive(Debug)]
+struct NotNewerError {
+    serial: u32,
+    last_serial: u32,
+    succession: Succession,
+}
+
+impl std::error::Error for NotNewerError {}
+
+impl fmt::Display for NotNewerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (serial, last) = (self.serial, self.last_serial);
+        match self.succession {
+            Succession::SameSerial => write!(
+                f,
+                "serial {serial} is not newer than {last}, which was in use with another content: \
+                 raise the serial"
+            ),
+            _ => write!(
+                f,
+                "serial {serial} is not newer than {last}, which was in use"
+            ),
+        }
+    }
+}
+
+/// A zone that counts from now on.
+struct NextZone {
+    zone: Arc<Zone>,
+    identity: ZoneIdentity,
+    entries: Vec<EndpointEntry>,
+}
+
+impl NextZone {
+    fn new(zone: Zone) -> Self {
+        NextZone {
+            identity: ZoneIdentity::new(&zone, &zone.text()),
+            // A zone is only kept once its endpoints could be read.
+            entries: zone.providers().unwrap_or_default(),
+            zone: Arc::new(zone),
+        }
+    }
+}
+
 /// The zone in use, its file and its copy.
 pub struct Zones {
     path: PathBuf,
     cache: ZoneCache,
     /// `None` until a zone can be read.
-    zone: RefCell<Option<Zone>>,
+    zone: RefCell<Option<Arc<Zone>>>,
+    /// The zone that was in use last, by this process or the one before; `None` where that is not
+    /// known.
+    last: RefCell<Option<ZoneIdentity>>,
     revision: Cell<u64>,
     /// Held during a change, which waits for the disk.
     changing: Mutex<()>,
@@ -57,31 +126,34 @@
     /// Returns the zone that the process begins with: the zone file's, or the copy where the file
     /// cannot be used or is older.
     ///
-    /// A process that owes final answers begins without any zone where there is neither, and then
-    /// takes the first one that it is given.
+    /// A process begins without any zone where neither can be used, if an earlier process had one
+    /// or if it owes final answers. It then takes the first one that it is given.
     ///
     /// # Errors
-    /// There is neither, and no final answer is owed.
+    /// There is neither, nothing tells of an earlier process, and no final answer is owed.
     pub fn open(
         path: &Path,
         cache: ZoneCache,
         owes_answers: bool,
     ) -> Result<Rc<Self>, NoZoneError> {
-        let zone = match first_zone(path, &cache) {
-            Ok(zone) => Some(zone),
+        let first = match first_zone(path, &cache) {
+            Ok(first) => first,
             Err(e) if owes_answers => {
-                log::error!("{e}; no endpoint is listed until SIGHUP brings a zone");
-                None
+                log_no_zone(&e);
+                FirstZone::default()
             }
             Err(e) => return Err(e),
         };
-        if let Some(zone) = &zone {
-            log_cached(cache.write(zone));
+        let mut last = first.last;
+        if let Some(zone) = &first.zone {
+            last = Some(ZoneIdentity::new(zone, &zone.text()));
+            log_kept(cache.write(zone));
         }
         Ok(Rc::new(Zones {
             path: path.into(),
             cache,
-            zone: RefCell::new(zone),
+            zone: RefCell::new(first.zone.map(Arc::new)),
+            last: RefCell::new(last),
             revision: Cell::new(1),
             changing: Mutex::new(()),
         }))
@@ -92,26 +164,25 @@
         let zone = self.zone.borrow();
         // A zone is only kept once its endpoints could be read.
         let entries = zone.as_ref()?.providers().unwrap_or_default();
-        Some(EndpointListUpdate {
-            revision: self.revision.get(),
-            complete: true,
-            entries,
-        })
+        Some(self.complete_list(entries))
     }
 
     /// Reads the file again. One that is wrong, or not newer by its serial, changes nothing.
     pub async fn reload(&self, driver: &DispatcherDriver) {
         let _changing = self.changing.lock().await;
-        let path = self.path.clone();
-        let read = in_background(move || Ok(zone_file::read(&path))).await;
-        match read {
-            Ok(Ok(zone)) if self.has_newer_serial(&zone) => self.apply(zone, driver).await,
-            Ok(Ok(zone)) => log::warn!(
-                "dns: serial {} is not newer; the old list stays",
-                zone.serial()
-            ),
-            Ok(Err(e)) => log::error!("dns: {e}; the old list stays"),
-            Err(e) => log::error!("dns: {e}; the old list stays"),
+        let (path, cache) = (self.path.clone(), self.cache.clone());
+        let last = self.last.borrow().clone();
+        let has_zone = self.zone.borrow().is_some();
+        let read = in_background(move || {
+            let next = NextZone::new(zone_file::read(&path)?);
+            check_succession(&next.identity, last.as_ref(), has_zone)?;
+            keep(&cache, &next.zone).map_err(NotAppliedError::EarlierZoneKept)?;
+            Ok(next)
+        });
+        match read.await {
+            Ok(next) => self.apply(next, driver),
+            Err(e @ NotAppliedError::NotNewer(_)) => log::warn!("dns: {e}; {}", self.what_stays()),
+            Err(e) => log::error!("dns: {e}; {}", self.what_stays()),
         }
     }
 
@@ -126,14 +197,17 @@
     ) -> Result<(), ResponseCode> {
         let _changing = self.changing.lock().await;
         let held = self.zone.borrow().clone().ok_or(ResponseCode::ServFail)?;
-        let (path, message) = (self.path.clone(), message.clone());
-        let updated = in_background(move || Ok(update_file(&path, &held, &message))).await;
-        let updated = updated.map_err(|e| {
+        let (path, cache, message) = (self.path.clone(), self.cache.clone(), message.clone());
+        let updated = in_background(move || {
+            let updated = update_file(&path, &cache, &held, &message);
+            Ok::<_, io::Error>(updated.map(|zone| zone.map(NextZone::new)))
+        });
+        let updated = updated.await.map_err(|e| {
             log::error!("dns: {}: {e}", self.path.display());
             ResponseCode::ServFail
         })?;
-        if let Some(zone) = updated? {
-            self.apply(zone, driver).await;
+        if let Some(next) = updated? {
+            self.apply(next, driver);
         }
         Ok(())
     }
@@ -147,20 +221,29 @@
         }
     }
 
-    fn has_newer_serial(&self, zone: &Zone) -> bool {
-        let held = self.zone.borrow();
-        held.as_ref()
-            .is_none_or(|held| is_newer(zone.serial(), held.serial()))
+    fn apply(&self, next: NextZone, driver: &DispatcherDriver) {
+        let (origin, serial) = (&next.identity.origin, next.identity.serial);
+        log::info!("dns: zone {origin} at serial {serial}");
+        *self.zone.borrow_mut() = Some(next.zone);
+        *self.last.borrow_mut() = Some(next.identity);
+        self.revision.set(self.revision.get() + 1);
+        driver.apply_list_update(&self.complete_list(next.entries));
     }
 
-    async fn apply(&self, zone: Zone, driver: &DispatcherDriver) {
-        log::info!("dns: zone {} at serial {}", zone.origin, zone.serial());
-        *self.zone.borrow_mut() = Some(zone);
-        self.revision.set(self.revision.get() + 1);
-        if let Some(list) = self.list_update() {
-            driver.apply_list_update(&list);
+    fn complete_list(&self, entries: Vec<EndpointEntry>) -> EndpointListUpdate {
+        EndpointListUpdate {
+            revision: self.revision.get(),
+            complete: true,
+            entries,
+        }
+    }
+
+    /// Returns, for the log, what is in use after a zone did not count.
+    fn what_stays(&self) -> &'static str {
+        match self.zone.borrow().is_some() {
+            true => "the old list stays",
+            false => "no endpoint is listed until SIGHUP brings a zone",
         }
-        self.write_cache().await;
     }
 
     async fn write_cache(&self) {
@@ -168,57 +251,116 @@
             return;
         };
         let cache = self.cache.clone();
-        let written = in_background(move || Ok(cache.write(&zone))).await;
-        log_cached(written.unwrap_or_else(|e| Err(e.into())));
+        log_kept(in_background(move || cache.write(&zone)).await);
     }
 }
 
-/// Returns the zone to begin with.
-fn first_zone(path: &Path, cache: &ZoneCache) -> Result<Zone, NoZoneError> {
-    let copy = cache.read(SystemTime::now());
-    match (zone_file::read(path), copy) {
-        (Ok(zone), Ok(Some(copy))) if !replaces(&zone, &copy) && zone.text() != copy.text() => {
-            log::error!(
-                "dns: {}: serial {} is not newer than {}, which was in use; that list stays",
-                path.display(),
-                zone.serial(),
-                copy.serial()
-            );
-            Ok(copy)
-        }
-        (Ok(zone), copy) => {
-            if let Err(e) = copy {
+/// What a process begins with.
+#[derive(Default)]
+struct FirstZone {
+    zone: Option<Zone>,
+    /// The zone that the process before had in use, where that is known.
+    last: Option<ZoneIdentity>,
+}
+
+/// Returns the zone to begin with; none where an earlier process had one that cannot be used now.
+fn first_zone(path: &Path, cache: &ZoneCache) -> Result<FirstZone, NoZoneError> {
+    let (file, last) = match (zone_file::read(path), cache.read(SystemTime::now())) {
+        (file, Ok(Some(last))) => (file, last),
+        (Ok(zone), last) => {
+            if let Err(e) = last {
                 log::warn!("state: {e}; the zone file counts");
             }
-            Ok(zone)
+            return Ok(FirstZone {
+                zone: Some(zone),
+                last: None,
+            });
         }
-        (Err(e), Ok(Some(copy))) => {
-            let serial = copy.serial();
-            log::error!("dns: {e}; the list of serial {serial}, which was in use, stays");
-            Ok(copy)
+        (Err(file), Ok(None)) => return Err(NoZoneError::ZoneFile(file)),
+        (Err(file), Err(copy @ ZoneCacheError::OtherZoneFile(_))) => {
+            return Err(NoZoneError::ZoneFileAndCopy { file, copy })
         }
-        (Err(e), Ok(None)) => Err(NoZoneError::ZoneFile(e)),
-        (Err(file), Err(copy)) => Err(NoZoneError::ZoneFileAndCopy { file, copy }),
+        (Err(file), Err(copy)) => {
+            // An earlier process had a zone in use, so this is no first start.
+            log_no_zone(&NoZoneError::ZoneFileAndCopy { file, copy });
+            return Ok(FirstZone::default());
+        }
+    };
+    let file = file.map_err(NotAppliedError::File).and_then(|zone| {
+        let identity = ZoneIdentity::new(&zone, &zone.text());
+        check_succession(&identity, Some(&last.identity), false)?;
+        Ok(zone)
+    });
+    Ok(match file {
+        Ok(zone) => FirstZone {
+            zone: Some(zone),
+            last: Some(last.identity),
+        },
+        Err(e) => begin_with_copy(path, &e, last),
+    })
+}
+
+/// Returns the copy of the zone that was in use, to begin with in place of a zone file.
+fn begin_with_copy(path: &Path, file: &NotAppliedError, last: LastZone) -> FirstZone {
+    let serial = last.identity.serial;
+    let file = match file {
+        // The others name the file themselves.
+        NotAppliedError::NotNewer(e) => format!("{}: {e}", path.display()),
+        other => other.to_string(),
+    };
+    match &last.copy {
+        Ok(_) => log::error!("dns: {file}; the list of serial {serial}, which was in use, stays"),
+        Err(copy) => log_no_zone(&format_args!("dns: {file}; its copy: {copy}")),
+    }
+    FirstZone {
+        zone: last.copy.ok(),
+        last: Some(last.identity),
     }
 }
 
-/// Whether a zone file's zone takes the place of the zone in use: its serial is newer, or it has
-/// another origin and so serials that cannot be compared.
-fn replaces(zone: &Zone, held: &Zone) -> bool {
-    zone.origin != held.origin || is_newer(zone.serial(), held.serial())
+/// Checks that a zone may take the place of the one that was in use last, if that is known. The very
+/// zone that was in use may be taken into use again by a process that has none.
+fn check_succession(
+    next: &ZoneIdentity,
+    last: Option<&ZoneIdentity>,
+    has_zone: bool,
+) -> Result<(), NotNewerError> {
+    let Some(last) = last else {
+        return Ok(());
+    };
+    let succession = last.succession(next);
+    if succession.replaces() || succession == Succession::Same && !has_zone {
+        return Ok(());
+    }
+    Err(NotNewerError {
+        serial: next.serial,
+        last_serial: last.serial,
+        succession,
+    })
 }
 
-/// Applies an update to the zone in use and writes the result to the zone file. Returns the new
-/// zone; `None` where the update changes nothing.
-fn update_file(path: &Path, held: &Zone, message: &Message) -> Result<Option<Zone>, ResponseCode> {
+/// Applies an update to the zone in use and writes the result to the zone file and the state folder.
+/// Returns the new zone; `None` where the update changes nothing.
+fn update_file(
+    path: &Path,
+    cache: &ZoneCache,
+    held: &Zone,
+    message: &Message,
+) -> Result<Option<Zone>, ResponseCode> {
     let Some(zone) = update::apply(held, message)? else {
         return Ok(None);
     };
     check_file_is_not_ahead(path, held)?;
-    zone_file::replace(path, &zone).map_err(|e| {
+    let failed = |e: &dyn fmt::Display| {
         log::error!("dns: {}: {e}", path.display());
         ResponseCode::ServFail
-    })?;
+    };
+    zone_file::replace(path, &zone).map_err(|e| failed(&e))?;
+    if let Err(e) = keep(cache, &zone) {
+        log::error!("dns: update refused: {e}; an earlier zone is kept in the state folder");
+        zone_file::replace(path, held).map_err(|e| failed(&e))?;
+        return Err(ResponseCode::ServFail);
+    }
     Ok(Some(zone))
 }
 
@@ -240,16 +382,36 @@
     }
 }
 
-fn log_cached(written: Result<(), ZoneCacheError>) {
-    if let Err(e) = written {
-        log::warn!("state: {e}; a restart relies on the zone file alone");
+/// Whether a zone file's zone takes the place of the zone in use.
+fn replaces(zone: &Zone, held: &Zone) -> bool {
+    zone.origin != held.origin || update::is_newer(zone.serial(), held.serial())
+}
+
+/// Keeps a zone for the next process, before it counts.
+fn keep(cache: &ZoneCache, zone: &Zone) -> Result<(), ZoneCacheError> {
+    let kept = cache.write(zone)?;
+    log_kept(Ok(kept));
+    Ok(())
+}
+
+fn log_kept(kept: Result<Kept, ZoneCacheError>) {
+    match kept {
+        Ok(Kept::Copy) => {}
+        Ok(Kept::Less(e)) => log::warn!("state: {e}; a restart relies on the zone file alone"),
+        Err(e) => log::error!("state: {e}; an earlier zone is kept in the state folder"),
     }
 }
 
+fn log_no_zone(fault: &dyn fmt::Display) {
+    log::error!("{fault}; no endpoint is listed until SIGHUP brings a zone");
+}
+
 /// Runs work that waits for the disk on a thread of its own.
-async fn in_background<T: Send + 'static>(
-    work: impl FnOnce() -> io::Result<T> + Send + 'static,
-) -> io::Result<T> {
+async fn in_background<T, E>(work: impl FnOnce() -> Result<T, E> + Send + 'static) -> Result<T, E>
+where
+    T: Send + 'static,
+    E: From<io::Error> + Send + 'static,
+{
     let (done, result) = async_channel::bounded(1);
     thread::Builder::new()
         .name("zone".into())
--- a/tests/sockets/dns_only.rs
+++ b/tests/sockets/dns_only.rs
@@ -58,6 +58,19 @@
     )
 }
 
+/// The lines of so many more endpoints, each of a destination that nobody calls.
+pub fn others(endpoints: usize) -> String {
+    let lines = (0..endpoints).map(|n| {
+        let (high, low) = (1 + n / 250, 1 + n % 250);
+        format!(
+            "_raildeal._tcp.{} 60 IN SRV 0 0 443 host-{n}\nhost-{n} 60 IN A 127.0.{high}.{low}\n\
+             host-{n} 60 IN TXT \"zone=a\" \"kind=broker\" \"rate=50\"\n",
+            100 + n
+        )
+    });
+    lines.collect()
+}
+
 impl Site {
     pub fn start() -> Self {
         Site::start_with("")
@@ -127,6 +140,13 @@
         assert!(self.program.ended().success());
     }
 
+    /// Replaces the zone file, tells the program, and waits until the zone of this serial counts.
+    pub fn apply(&mut self, text: &str, serial: u32) {
+        fs::write(self.file(), text).expect("written");
+        self.program.signal("HUP");
+        self.program.says(&format!("at serial {serial}"));
+    }
+
     /// Starts the program again on the folder that it left.
     pub fn start_again(&mut self) {
         (self.program, self.client, self.updates) = begin(&self.folder);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -9,6 +9,7 @@
 mod held_log;
 mod hook_only;
 mod http;
+mod large_zones;
 mod lists;
 mod long_day;
 mod mqtt;
--- a/tests/zone.rs
+++ b/tests/zone.rs
@@ -14,6 +14,11 @@
     Zone::read(EXAMPLE, None).expect("the example is a zone")
 }
 
+/// Returns what is wrong with a text that is no zone.
+fn fault(text: &str) -> String {
+    Zone::read(text, None).expect_err("a bad zone").to_string()
+}
+
 fn name(text: &str) -> Name {
     Name::from_ascii(text)
         .and_then(|n| n.append_domain(&zone().origin))
@@ -99,8 +104,7 @@
 
 #[test]
 fn the_error_of_an_invalid_zone_names_the_line_or_record() {
-    let with =
-        |line: &str| Zone::read(&format!("{EXAMPLE}{line}\n"), None).expect_err("a bad zone");
+    let with = |line: &str| fault(&format!("{EXAMPLE}{line}\n"));
     let last = EXAMPLE.lines().count() + 1;
     for bad in [
         "oviedo-3 IN A 127.0.0.300",
@@ -119,12 +123,8 @@
     assert!(with("oviedo-1 IN TXT \"state=gone\"").contains("gone"));
     assert!(with("elsewhere. IN A 127.0.0.1").contains("elsewhere"));
     let rate = EXAMPLE.replace("\"rate=4\"", "\"rate=lots\"");
-    assert!(Zone::read(&rate, None)
-        .expect_err("a bad rate")
-        .contains("rate"));
-    assert!(Zone::read("$ORIGIN x.\nx. 60 IN A 127.0.0.1\n", None)
-        .expect_err("no SOA")
-        .contains("SOA"));
+    assert!(fault(&rate).contains("rate"));
+    assert!(fault("$ORIGIN x.\nx. 60 IN A 127.0.0.1\n").contains("SOA"));
 }
 
 #[test]
