Refuse a zone file that ends within a line, or holds an entry without its data

Cause: the parser of records takes a last line that is not ended. A cut within an address, a port or a name makes another one that is valid. By trying each cut of the example, two relatives: it passes over an entry that ends before its type ("host 60 IN"), and ignores words behind the data of a record, as a line has that joins new and old text.

Change: zone_text.rs splits the text into entries by the parser's own rules and refuses a text whose last line is not ended, an open quote or parenthesis, a record without type, with too little data or too much, and $INCLUDE, which names a file of any size whose end nobody checks. Each error names its line.

--- a/src/net/dns/mod.rs
+++ b/src/net/dns/mod.rs
@@ -7,4 +7,5 @@
 pub mod zone_cache;
 pub mod zone_file;
 pub mod zone_identity;
+pub mod zone_text;
 pub mod zones;
--- a/src/net/dns/zone.rs
+++ b/src/net/dns/zone.rs
@@ -4,6 +4,7 @@
 //! the host is where it listens; its TXT record may hold `zone=`, `kind=`, `rate=` (calls a second)
 //! and `state=draining`.
 
+use super::zone_text::{self, ZoneTextError};
 use crate::delivery::endpoint::EndpointEntry;
 use crate::Condition;
 use hickory_proto::rr::rdata::{SRV, TXT};
@@ -25,6 +26,9 @@
 /// Reason why a text is not a zone that can be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ZoneError {
+    /// An entry is not complete.
+    #[error(transparent)]
+    Incomplete(#[from] ZoneTextError),
     /// An entry cannot be parsed.
     #[error("line {line}: {source}")]
     Line {
@@ -57,6 +61,7 @@
     /// The text is cut or not a zone that can be used. The error begins with the line, where one
     /// line is at fault.
     pub fn read(text: &str, origin: Option<&Name>) -> Result<Self, ZoneError> {
+        zone_text::entries(text)?;
         let parse = |text: &str| Parser::new(text.to_string(), None, origin.cloned()).parse();
         let (_, sets) = parse(text).map_err(|source| {
             // The parser tells no line: it is the last one with which the file cannot be read,
--- a/tests/sockets/large_zones.rs
+++ b/tests/sockets/large_zones.rs
@@ -38,3 +38,20 @@
         site.providers.check();
     }
 }
+
+#[test]
+fn a_zone_file_cut_within_its_last_line_is_refused_and_counts_once_it_is_whole() {
+    // review/7: a file that lacked its last two bytes sent messages to another partner's endpoint.
+    for size in SIZES {
+        let mut site = Site::start();
+        let whole = sized(&site, 8, "q", size);
+        let cut = whole.trim_end_matches('"').len() - 2;
+        fs::write(site.file(), &whole[..cut]).expect("written");
+        site.program.signal("HUP");
+        site.program.says("the old list stays");
+        assert_eq!(site.used(&["m1"]).len(), 1, "{size}");
+        site.apply(&whole, 8);
+        assert_eq!(site.used(&["m2", "m3"]), ["q", "q"], "{size}");
+        site.providers.check();
+    }
+}
--- a/tests/zone.rs
+++ b/tests/zone.rs
@@ -298,3 +298,54 @@
     assert_eq!(listed, ENDPOINTS);
     assert!(took <= Duration::from_millis(250), "{took:?}");
 }
+
+/// The text of a zone with so many endpoints.
+fn sized_text(endpoints: usize) -> String {
+    let lines: String = (0..endpoints)
+        .map(|n| {
+            let (high, low) = (1 + n / 250, 1 + n % 250);
+            format!(
+                "_raildeal._tcp.{n} 60 IN SRV 0 0 1884 h{n}\nh{n} 60 IN A 127.0.{high}.{low}\n\
+                 h{n} 60 IN TXT \"zone=a\" \"rate=4\"\n"
+            )
+        })
+        .collect();
+    format!("$ORIGIN x.example.\n@ 60 IN SOA ns mail 1 1 1 1 1\n{lines}")
+}
+
+#[test]
+fn a_zone_cut_within_a_line_is_refused_wherever_it_is_cut() {
+    // review/7: a file that lacked its last two bytes was applied.
+    let large = sized_text(3_200);
+    for (text, first_cut) in [(EXAMPLE, 0), (&large, large.len() - 100)] {
+        for cut in first_cut..text.len() {
+            let is_within_line = !text[..cut].ends_with('\n');
+            let refused = Zone::read(&text[..cut], None).is_err();
+            assert!(refused || !is_within_line, "cut at {cut}");
+        }
+    }
+}
+
+#[test]
+fn an_entry_with_too_little_or_too_much_data_is_refused_by_its_line() {
+    // Where old text follows new text, one line may hold parts of two records.
+    let last = EXAMPLE.lines().count() + 1;
+    for bad in [
+        "oviedo-3",
+        "oviedo-3 60",
+        "oviedo-3 60 IN",
+        " 60",
+        "oviedo-3 IN A",
+        "oviedo-3 IN TXT",
+        "oviedo-3 IN SRV 0 0 1884",
+        "oviedo-3 IN A 127.0.0.1 127.0.0.2",
+        "oviedo-3 IN A 127.0.0.1 60 IN A 127.0.0.2",
+        "oviedo-3 IN TXT (\n\"zone=a\"",
+        "$INCLUDE /etc/partners.zone",
+    ] {
+        let told = fault(&format!("{EXAMPLE}{bad}\n"));
+        assert!(told.starts_with(&format!("line {last}:")), "{bad}: {told}");
+    }
+    let zone = "$ORIGIN x.example.\n@ 60 IN SOA ns mail (\n 7 ; serial\n 1 1 1 1 )\nns IN A 127.0.0.1 ; one\n\n";
+    assert_eq!(Zone::read(zone, None).expect("a zone").serial(), 7);
+}
