Let no restart go by a zone that a later one has replaced, whatever could be kept of it

Cause: "the old copy stays" is right for a write that is torn and wrong for a zone that has been replaced. Nothing but the copy told which zone was in use.

Change: what is kept tells origin, serial and digest of the zone in use, also without a copy. Where the new copy cannot be written, these alone take the place of the old one: by a replacement, else in the old file itself, else the old file is removed; a zone counts only once one of these is done. A start compares the zone file with that: an older one is not used, the very same one may be.

A check was wrong: a_copy_takes_no_more_of_the_folder_than_is_free asserted that the copy of serial 7 stays in a full folder once 8 is in use, which is the fault. It now asserts that 8 is known, that 7 is gone and that the folder does not grow.

--- a/src/net/dns/zone_cache.rs
+++ b/src/net/dns/zone_cache.rs
@@ -1,6 +1,11 @@
 //! What the state folder keeps of the zone in use for the next process: its identity, and a copy of
 //! it where there is room.
 //!
+//! No process goes by a zone that a later one has replaced. So the file is written before a zone
+//! counts, and an older copy does not outlive its zone: where the new copy cannot be written, the
+//! identity alone takes its place, if need be in the file of the old copy. Where not even that can be
+//! written, the file is removed.
+//!
 //! A process that starts while the operator's zone file is half written, or is older than the zone
 //! that was in use, begins with the copy. It is the file `zone` in the state folder, in one of two
 //! forms:
@@ -99,7 +104,7 @@
 pub enum Kept {
     /// A copy.
     Copy,
-    /// Less than a copy, for this reason.
+    /// Less than a copy, for this reason. No other zone is kept in its place.
     Less(ZoneCacheError),
 }
 
@@ -150,16 +155,17 @@
         Ok(Some(last))
     }
 
-    /// Keeps a zone durably, before it counts.
+    /// Keeps a zone durably, before it counts; what was kept before is of no use any more.
     ///
     /// # Errors
-    /// The zone cannot be kept.
+    /// An earlier zone is kept and can be neither replaced nor removed, so that the next process
+    /// might go by it.
     pub fn write(&self, zone: &Zone) -> Result<Kept, ZoneCacheError> {
         let text = zone.text();
         let identity = ZoneIdentity::new(zone, &text);
         match self.write_copy(&identity, &text) {
             Ok(()) => Ok(Kept::Copy),
-            Err(no_copy) => Ok(Kept::Less(no_copy)),
+            Err(no_copy) => self.keep_less(&identity, no_copy),
         }
     }
 
@@ -187,6 +193,25 @@
         self.replace(&copy, largest_bytes)
     }
 
+    /// Keeps the identity of a zone of which there is no copy, or nothing.
+    fn keep_less(
+        &self,
+        identity: &ZoneIdentity,
+        no_copy: ZoneCacheError,
+    ) -> Result<Kept, ZoneCacheError> {
+        let alone = encode(&self.zone_file_name(), identity, &[]);
+        if self.replace(&alone, BLOCK_BYTES).is_ok() {
+            return Ok(Kept::Less(no_copy));
+        }
+        if self.overwrite(&alone).is_ok() || self.remove().is_ok() {
+            return Ok(Kept::Less(no_copy));
+        }
+        match self.read(SystemTime::now()) {
+            Ok(Some(last)) if last.identity != *identity => Err(no_copy),
+            _ => Ok(Kept::Less(no_copy)),
+        }
+    }
+
     /// Replaces the file, if it takes no more than `largest_bytes` and no more than is free.
     fn replace(&self, bytes: &[u8], largest_bytes: u64) -> Result<(), ZoneCacheError> {
         let needed_bytes = bytes.len() as u64;
@@ -201,6 +226,26 @@
         Ok(())
     }
 
+    /// Overwrites the file where it stands, which takes no room in a full folder. A crash in between
+    /// leaves a damaged file and not the old copy.
+    fn overwrite(&self, identity: &[u8]) -> Result<(), ZoneCacheError> {
+        let mut file = File::options()
+            .write(true)
+            .truncate(true)
+            .open(self.path())?;
+        // An empty file is no copy either.
+        let _ = file.write_all(identity);
+        file.sync_all()?;
+        Ok(())
+    }
+
+    /// Removes the file durably.
+    fn remove(&self) -> Result<(), ZoneCacheError> {
+        ZoneCache::remove_unused(&self.folder)?;
+        File::open(&self.folder)?.sync_all()?;
+        Ok(())
+    }
+
     fn note_use(&self) -> Result<(), ZoneCacheError> {
         let file = File::options().write(true).open(self.path())?;
         file.set_modified(SystemTime::now())?;
--- a/src/net/dns/zone_cache/tests.rs
+++ b/src/net/dns/zone_cache/tests.rs
@@ -116,6 +116,7 @@
     let folder = TempDir::new().expect("a folder");
     let cache = cache(&folder);
     cache.write(&zone(7)).expect("written");
+    let copy_bytes = fs::metadata(cache.path()).expect("a file").len();
     let journal = vec![0; LIMIT_BYTES as usize];
     fs::write(folder.path().join("0000.seg"), journal).expect("written");
     let full = cache.write(&zone(8));
@@ -123,7 +124,9 @@
         full,
         Ok(Kept::Less(ZoneCacheError::NoRoom { .. }))
     ));
-    assert!(matches!(read(&cache), Ok(Some(7))));
+    // The copy of a zone that has been replaced does not stay, and the folder does not grow.
+    assert_identity_only(&cache, 8);
+    assert!(fs::metadata(cache.path()).expect("a file").len() <= copy_bytes);
     fs::remove_file(folder.path().join("0000.seg")).expect("removed");
     cache.write(&zone(8)).expect("written");
     assert!(matches!(read(&cache), Ok(Some(8))));
@@ -133,6 +136,18 @@
         narrow.write(&large),
         Ok(Kept::Less(ZoneCacheError::NoRoom { .. }))
     ));
+    assert_identity_only(&narrow, 9);
+}
+
+/// Checks that it is known which zone was in use last, and that there is no copy.
+fn assert_identity_only(cache: &ZoneCache, serial: u32) {
+    let last = cache.read(SystemTime::now()).expect("an identity");
+    let last = last.expect("an identity");
+    assert_eq!(last.identity.serial, serial);
+    assert!(matches!(
+        last.copy,
+        Err(ZoneCacheError::IdentityOnly { .. })
+    ));
 }
 
 /// A zone of so many endpoints, with names and addresses that compress as badly as real ones.
--- a/tests/sockets/dns_only.rs
+++ b/tests/sockets/dns_only.rs
@@ -140,6 +140,14 @@
         assert!(self.program.ended().success());
     }
 
+    /// Bounds the folder that lasts, from the next start on.
+    pub fn limit_disk(&self, megabytes: f64) {
+        let file = operators_file(&self.folder);
+        let text = fs::read_to_string(&file).expect("a file");
+        let text = format!("{text}\n[limits]\ndisk_mb = {megabytes:?}\n");
+        fs::write(file, text).expect("written");
+    }
+
     /// Replaces the zone file, tells the program, and waits until the zone of this serial counts.
     pub fn apply(&mut self, text: &str, serial: u32) {
         fs::write(self.file(), text).expect("written");
--- a/tests/sockets/large_zones.rs
+++ b/tests/sockets/large_zones.rs
@@ -1,11 +1,16 @@
 //! Restarts beside a zone file that cannot be used, from a few endpoints up to the largest fleets.
 
 use crate::dns_only::{others, zone, Site};
+use crate::rig::{message, Heard, Wire};
 use std::fs;
 use std::path::Path;
 
 /// Sizes of zones; the last one is that of the largest fleet.
 const SIZES: [usize; 3] = [0, 1_000, 3_200];
+/// Endpoints of a zone whose copy does not fit in the narrow folder.
+const TOO_MANY: usize = 3_200;
+/// A folder with room for the copy of a small zone, in megabytes.
+const NARROW_DISK_MB: f64 = 0.5;
 
 /// A zone of this size that lists one of the two brokers.
 fn sized(site: &Site, serial: u32, host: &str, size: usize) -> String {
@@ -39,6 +44,33 @@
     }
 }
 
+#[test]
+fn a_start_without_copy_or_zone_file_waits_for_a_zone_where_an_earlier_process_had_one() {
+    // The same where the copy cannot be kept: the start ended, with nothing owed.
+    let mut site = Site::start();
+    site.end();
+    // What the program wrote before is over the limit now.
+    site.limit_disk(NARROW_DISK_MB);
+    site.start_again();
+    let whole = sized(&site, 8, "q", TOO_MANY);
+    site.apply(&whole, 8);
+    site.end();
+    write_half(&site.file(), &whole);
+    site.start_again();
+    assert_logged(
+        &mut site,
+        "no endpoint is listed until SIGHUP brings a zone",
+    );
+    assert_eq!(site.client.hand_in(&message("early")), Heard::TakenOn);
+    // The very zone that was in use may be used again.
+    site.apply(&whole, 8);
+    let call = site.providers.call();
+    assert_eq!(
+        (call.message.id.as_str(), call.provider.as_str()),
+        ("early", "q")
+    );
+}
+
 #[test]
 fn a_zone_file_cut_within_its_last_line_is_refused_and_counts_once_it_is_whole() {
     // review/7: a file that lacked its last two bytes sent messages to another partner's endpoint.
@@ -55,3 +87,70 @@
         site.providers.check();
     }
 }
+
+/// What keeps a zone from being copied into the state folder.
+#[derive(Clone, Copy, Debug)]
+enum Hindrance {
+    None,
+    /// The folder is too small for a copy.
+    NarrowDisk,
+    /// A folder stands where the copy is written before it replaces the old one.
+    UnwritableCopy,
+}
+
+/// Starts a site whose zone of serial 9 has replaced the only endpoint of the one before.
+fn site_with_replaced_zone(size: usize, hindrance: Hindrance) -> Site {
+    let mut site = Site::start();
+    if matches!(hindrance, Hindrance::NarrowDisk) {
+        site.end();
+        site.limit_disk(NARROW_DISK_MB);
+        site.start_again();
+    }
+    let old = sized(&site, 8, "p", 0);
+    site.apply(&old, 8);
+    if matches!(hindrance, Hindrance::UnwritableCopy) {
+        fs::create_dir_all(site.state().join("zone.new/inside")).expect("created");
+    }
+    let new = sized(&site, 9, "q", size);
+    site.apply(&new, 9);
+    site
+}
+
+#[test]
+fn no_restart_goes_by_a_zone_that_a_later_one_has_replaced() {
+    // review/8: the copy of an earlier zone stayed where the later one could not be copied.
+    for size in SIZES {
+        for hindrance in [
+            Hindrance::None,
+            Hindrance::NarrowDisk,
+            Hindrance::UnwritableCopy,
+        ] {
+            let mut site = site_with_replaced_zone(size, hindrance);
+            site.kill();
+            let next = sized(&site, 10, "q", size);
+            write_half(&site.file(), &next);
+            site.start_again();
+            assert_eq!(site.client.hand_in(&message("early")), Heard::TakenOn);
+            site.apply(&next, 10);
+            let call = site.providers.call();
+            assert_eq!(call.message.id, "early");
+            assert_eq!(call.provider, "q", "{size} {hindrance:?}");
+        }
+    }
+}
+
+#[test]
+fn no_restart_takes_an_older_zone_file_where_no_copy_was_kept() {
+    for size in SIZES {
+        let mut site = site_with_replaced_zone(size, Hindrance::NarrowDisk);
+        site.kill();
+        let older = sized(&site, 8, "p", size);
+        fs::write(site.file(), older).expect("written");
+        site.start_again();
+        assert_logged(&mut site, "serial 8 is not newer than 9, which was in use");
+        assert_eq!(site.client.hand_in(&message("early")), Heard::TakenOn);
+        let next = sized(&site, 10, "q", size);
+        site.apply(&next, 10);
+        assert_eq!(site.providers.call().provider, "q", "{size}");
+    }
+}
