Take an SOA record of an update as it reads back from the zone file

Seen by callers: an update that sets an SOA record whose time to live is not its expiry was answered SERVFAIL, and the log said that the zone cannot be written as it is.

Cause: the parser of zone files gives an SOA record its expiry as time to live, so that what was written never read back the same.

Change: an SOA record of an update is kept with that time to live.

--- a/src/net/dns/update.rs
+++ b/src/net/dns/update.rs
@@ -107,7 +107,7 @@
             (DNSClass::IN, RecordType::SOA) => {
                 if is_apex && is_newer_soa(change, records) {
                     records.retain(|record| record.record_type() != RecordType::SOA);
-                    records.push(change.clone());
+                    records.push(as_read_from_file(change));
                 }
             }
             (DNSClass::IN, _) => {
@@ -137,6 +137,16 @@
     }
 }
 
+/// Returns an SOA record with the time to live that it has when it is read from a zone file: its
+/// expiry, whatever is written.
+fn as_read_from_file(soa: &Record) -> Record {
+    let mut record = soa.clone();
+    if let Some(soa) = soa.data().as_soa() {
+        record.set_ttl(soa.expire().try_into().unwrap_or(0));
+    }
+    record
+}
+
 /// Whether an SOA record has a newer serial than the one among the records of the apex.
 fn is_newer_soa(soa: &Record, apex: &[Record]) -> bool {
     let held = apex.iter().find_map(|record| record.data().as_soa());
