Apply a list of the largest fleet in a time that grows with its size

Cause: for each new endpoint, each other endpoint of its destination was looked for among all new ones, one by one: the time grows with the cube of a destination's size. A whole list looked for each endpoint that was listed before in all entries, one by one.

Change: new endpoints are a set; what is known of the other endpoints of a destination is computed once for all of its new ones. Listed handles are a set. Order and draws stay as they were.

--- a/src/delivery/endpoint_directory/mod.rs
+++ b/src/delivery/endpoint_directory/mod.rs
@@ -168,7 +168,7 @@
 
     /// Removes the endpoints that a complete list does not contain, and returns them.
     fn remove_unlisted(&self, update: &EndpointListUpdate) -> Vec<Rc<Endpoint>> {
-        let listed: Vec<EndpointAddress> =
+        let listed: BTreeSet<EndpointAddress> =
             update.entries.iter().map(|e| self.handle(&e.uid)).collect();
         let mut endpoints = self.endpoints.borrow_mut();
         let unlisted: Vec<Rc<Endpoint>> = endpoints
--- a/src/dispatch/dispatcher/endpoint_list.rs
+++ b/src/dispatch/dispatcher/endpoint_list.rs
@@ -5,6 +5,7 @@
 
 use super::*;
 use crate::dispatch::endpoint_health::Health;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Largest preference of a sender for an endpoint over its siblings, as a part of the cost: without
 /// it all senders would choose the same one first.
@@ -20,19 +21,17 @@
             }
             touched.extend(self.endpoints.keys().copied());
         }
-        let mut added = Vec::new();
+        let mut added = BTreeSet::new();
         for listing in listings {
             if self.apply_listing(now, listing) {
-                added.push(listing.endpoint);
+                added.insert(listing.endpoint);
             }
             touched.push(listing.endpoint);
         }
         let ready = self.endpoints.values().filter(|endpoint| endpoint.is_ready);
         self.traffic_share
             .set_listed_rates(ready.map(|endpoint| endpoint.listed_rate));
-        for endpoint in &added {
-            self.try_first_if_others_failed(now, endpoint, &added);
-        }
+        self.try_first_if_others_failed(now, listings, &added);
         for endpoint in touched {
             self.drop_endpoint_if_unused(endpoint);
         }
@@ -63,16 +62,46 @@
         is_new && has_others
     }
 
-    /// Ejects a new endpoint, so that a trial goes first, if its destination has ejected endpoints
+    /// Ejects new endpoints, so that a trial goes first, if their destination has ejected endpoints
     /// or had them last, and this sender rarely calls it: then an outage may last longer than its
     /// endpoints are listed.
     fn try_first_if_others_failed(
         &mut self,
         now: Nanos,
-        address: &EndpointAddress,
-        added: &[EndpointAddress],
+        listings: &[Listing],
+        added: &BTreeSet<EndpointAddress>,
     ) {
-        let dest = self.endpoints[address].dest;
+        // The others of a destination are the same for all of its new endpoints.
+        let mut throughputs: BTreeMap<DestinationId, Option<f64>> = BTreeMap::new();
+        let mut handled = BTreeSet::new();
+        for listing in listings {
+            let address = &listing.endpoint;
+            if !added.contains(address) || !handled.insert(address) {
+                continue;
+            }
+            let dest = self.endpoints[address].dest;
+            let throughput = *throughputs
+                .entry(dest)
+                .or_insert_with(|| self.throughput_before_failure(now, dest, added));
+            let Some(peak_throughput) = throughput else {
+                continue;
+            };
+            if let Some(endpoint) = self.endpoints.get_mut(address) {
+                endpoint.health = Health::Ejected;
+                endpoint.peak_throughput = peak_throughput;
+            }
+            self.draw_slow_start_budget(dest, address);
+        }
+    }
+
+    /// Returns the throughput of the best endpoint of a destination that has failed and that this
+    /// sender rarely calls; `None` for any other destination. New endpoints do not count.
+    fn throughput_before_failure(
+        &self,
+        now: Nanos,
+        dest: DestinationId,
+        added: &BTreeSet<EndpointAddress>,
+    ) -> Option<f64> {
         let queue = &self.destinations[&dest];
         let is_rare = queue.arrivals.rate(now) * RATE_MEMORY.fade_seconds < 1.0;
         let mut peak_throughput = queue.lost_throughput;
@@ -82,14 +111,7 @@
             peak_throughput = peak_throughput.max(other.peak_throughput);
             has_failed |= other.health == Health::Ejected;
         }
-        if !is_rare || !has_failed {
-            return;
-        }
-        if let Some(endpoint) = self.endpoints.get_mut(address) {
-            endpoint.health = Health::Ejected;
-            endpoint.peak_throughput = peak_throughput;
-        }
-        self.draw_slow_start_budget(dest, address);
+        (is_rare && has_failed).then_some(peak_throughput)
     }
 
     /// Drops an endpoint that is not ready and has no calls in flight.
--- a/tests/zone.rs
+++ b/tests/zone.rs
@@ -1,5 +1,9 @@
 //! Zone files and the effects of updates on them, without sockets.
 
+#[path = "common/growth.rs"]
+mod growth;
+
+use growth::{growth, MAX_GROWTH};
 use hickory_proto::op::{update_message, Message, ResponseCode};
 use hickory_proto::rr::rdata::{MX, SOA, SRV, TXT};
 use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordSet, RecordType};
@@ -356,18 +360,6 @@
     assert_eq!(Zone::read(zone, None).expect("a zone").serial(), 7);
 }
 
-/// Returns how much longer work takes at the size of the largest fleet than at a quarter of it: four
-/// times where the time grows with the size, sixteen times where it grows with its square.
-fn growth(work: impl Fn(usize) -> Duration) -> f64 {
-    const LARGEST: usize = 3_200;
-    const RUNS: usize = 5;
-    let least = |size: usize| (0..RUNS).map(|_| work(size)).min().expect("a run");
-    least(LARGEST).as_secs_f64() / least(LARGEST / 4).as_secs_f64()
-}
-
-/// Halfway between growth with the size and with its square.
-const MAX_GROWTH: f64 = 8.0;
-
 #[test]
 fn the_time_to_find_a_bad_line_does_not_grow_with_the_square_of_the_size() {
     // review/9: a start beside such a file of 3,200 endpoints was not ready after 30 s.
