Withdraw the trust in an older list where a newer revision cannot be noted

What callers may see: a platform sender that could not write the note of its list's revision, and is restarted with an older list, calls endpoints of that list for up to 40 s, also such as it was told are gone.

Cause: the note of an older list's freshness stayed when the revision note failed, and the revision note is what sets it aside.

Change: that note is emptied where it stands, which takes no room. An empty one is trusted for no time, so the next start polls the directory first.

--- a/src/delivery/journal/restart_state.rs
+++ b/src/delivery/journal/restart_state.rs
@@ -118,10 +118,21 @@
 /// Notes the revision of the list to which the noted freshness belongs from now on.
 ///
 /// # Errors
-/// The folder cannot be written. The next start may trust an older list than this process does.
+/// The folder cannot be written. The noted freshness belongs to an older list then, so it is
+/// withdrawn, and the next start calls no endpoint until it has polled the directory.
 pub fn note_list_revision(folder: &Path, now_unix_ms: u64, revision: u64) -> io::Result<()> {
     let line = format!("{now_unix_ms} {revision}\n");
-    note_file::replace(folder, LIST_REVISION.name, &line)
+    let noted = note_file::replace(folder, LIST_REVISION.name, &line);
+    if noted.is_err() {
+        withdraw_list_freshness(folder)?;
+    }
+    noted
+}
+
+/// Empties the note of a list's freshness where it stands, which takes no room in a full folder: a
+/// torn note is trusted for no time, whereas a missing one is that of a first start.
+fn withdraw_list_freshness(folder: &Path) -> io::Result<()> {
+    fs::File::create(folder.join(LIST_FRESHNESS.name)).map(drop)
 }
 
 /// Reads the state of the previous process, for a process that begins with the list of this
--- a/src/delivery/journal/restart_state/tests.rs
+++ b/src/delivery/journal/restart_state/tests.rs
@@ -90,6 +90,28 @@
     assert_eq!(left(Some(41)), Some(0), "torn");
 }
 
+#[test]
+fn no_list_is_trusted_once_a_newer_revision_could_not_be_noted() {
+    // The freshness of the older list stayed, and a restart with that list went by it.
+    let folder = tempfile::tempdir().expect("a folder");
+    let held = Some(8);
+    let remaining = |now| load(folder.path(), now, held).state.remaining_freshness;
+    note_list_revision(folder.path(), 1_000, 8).expect("written");
+    note_list_freshness(folder.path(), 1_000, Duration::from_secs(40)).expect("written");
+    assert_eq!(remaining(2_000), Some(39_000_000_000));
+    // A folder stands where the note is written before it replaces the old one.
+    fs::create_dir(folder.path().join("listed.new")).expect("created");
+    note_list_revision(folder.path(), 2_000, 9).expect_err("not written");
+    assert_eq!(remaining(2_000), Some(0));
+    // Once the revision is noted, its own freshness counts again.
+    fs::remove_dir(folder.path().join("listed.new")).expect("removed");
+    note_list_revision(folder.path(), 3_000, 9).expect("written");
+    note_list_freshness(folder.path(), 3_000, Duration::from_secs(40)).expect("written");
+    assert_eq!(remaining(3_000), Some(0), "the older list");
+    let newer = load(folder.path(), 3_000, Some(9)).state;
+    assert_eq!(newer.remaining_freshness, Some(40_000_000_000));
+}
+
 #[test]
 fn the_noted_poll_cost_counts_for_an_hour_and_within_bounds() {
     let folder = tempfile::tempdir().expect("a folder");
