Let the whole zone file of a serial complete the one that was cut at the end of a line

Seen by operators: a zone file that was cut at the end of a line may be a valid zone that lists less. Once it counted, the whole file of the same serial changed nothing ("not newer"), and the log did not say what would.

Cause: zones of one serial were not told apart: nothing compares their content.

Change: after SIGHUP a zone of the serial in use counts if its file is the one that was read before with more at its end, which is what a cut file becomes. Any other content under that serial is refused as before, and the log says to raise the serial. The rule goes by the text of the file, not by the records: a file of the operator's that does not know of a removal by update is not such a file.

--- a/src/net/dns/zone_identity.rs
+++ b/src/net/dns/zone_identity.rs
@@ -34,6 +34,12 @@
             checksum: crc32fast::hash(text.as_bytes()),
         }
     }
+
+    /// Whether a text is the one of this digest with more behind it.
+    pub fn has_grown_to(&self, text: &str) -> bool {
+        let beginning = text.get(..self.bytes);
+        text.len() > self.bytes && beginning.is_some_and(|text| TextDigest::new(text) == *self)
+    }
 }
 
 /// How a zone stands to the one that was in use before.
@@ -51,13 +57,6 @@
     SameSerial,
 }
 
-impl Succession {
-    /// Whether the zone takes the place of the one before.
-    pub fn replaces(self) -> bool {
-        matches!(self, Succession::Newer | Succession::OtherZone)
-    }
-}
-
 impl ZoneIdentity {
     /// Returns the identity of a zone with this text.
     pub fn new(zone: &Zone, text: &str) -> Self {
--- a/src/net/dns/zones.rs
+++ b/src/net/dns/zones.rs
@@ -101,22 +101,21 @@
 }
 
 impl NextZone {
-    /// Reads the zone file.
-    fn read(path: &Path) -> Result<Self, ZoneFileError> {
-        let file = zone_file::read_text(path)?;
-        let zone = zone_file::parse(path, &file)?;
-        Ok(NextZone::new(zone, TextDigest::new(&file)))
+    /// Returns the zone of the zone file, which has this text.
+    fn of_file(path: &Path, file: &str) -> Result<Self, ZoneFileError> {
+        let listed = zone_file::parse(path, file)?;
+        let text = listed.zone.text();
+        Ok(NextZone::new(listed, text, TextDigest::new(file)))
     }
 
     /// Returns a zone that is written to the zone file as it is.
-    fn written(zone: ListedZone) -> Self {
-        let mut next = NextZone::new(zone, TextDigest::new(""));
-        next.file = TextDigest::new(&next.text);
-        next
+    fn written(listed: ListedZone) -> Self {
+        let text = listed.zone.text();
+        let file = TextDigest::new(&text);
+        NextZone::new(listed, text, file)
     }
 
-    fn new(listed: ListedZone, file: TextDigest) -> Self {
-        let text = listed.zone.text();
+    fn new(listed: ListedZone, text: String, file: TextDigest) -> Self {
         NextZone {
             identity: ZoneIdentity::new(&listed.zone, &text),
             text,
@@ -202,9 +201,12 @@
         let (path, cache) = (self.path.clone(), self.cache.clone());
         let last = self.last.borrow().clone();
         let has_zone = self.zone.borrow().is_some();
+        let read_last = self.file.get();
         let read = in_background(move || {
-            let next = NextZone::read(&path)?;
-            check_succession(&next.identity, last.as_ref(), has_zone)?;
+            let file = zone_file::read_text(&path)?;
+            let next = NextZone::of_file(&path, &file)?;
+            let has_grown = read_last.is_some_and(|last| last.has_grown_to(&file));
+            check_succession(&next.identity, last.as_ref(), has_zone, has_grown)?;
             next.keep(&cache)
                 .map_err(NotAppliedError::EarlierZoneKept)?;
             Ok(next)
@@ -329,7 +331,7 @@
         .map_err(NotAppliedError::File)
         .and_then(|(zone, file)| {
             let identity = ZoneIdentity::new(&zone, &zone.text());
-            check_succession(&identity, Some(&last.identity), false)?;
+            check_succession(&identity, Some(&last.identity), false, false)?;
             Ok((zone, file))
         });
     Ok(match file {
@@ -362,17 +364,25 @@
 }
 
 /// Checks that a zone may take the place of the one that was in use last, if that is known. The very
-/// zone that was in use may be taken into use again by a process that has none.
+/// zone that was in use may be taken into use again by a process that has none; one of the same
+/// serial counts if its file has grown at its end since it was read, as one does that was cut.
 fn check_succession(
     next: &ZoneIdentity,
     last: Option<&ZoneIdentity>,
     has_zone: bool,
+    has_grown: bool,
 ) -> Result<(), NotNewerError> {
     let Some(last) = last else {
         return Ok(());
     };
     let succession = last.succession(next);
-    if succession.replaces() || succession == Succession::Same && !has_zone {
+    let counts = match succession {
+        Succession::Newer | Succession::OtherZone => true,
+        Succession::Same => !has_zone,
+        Succession::SameSerial => has_grown,
+        Succession::Older => false,
+    };
+    if counts {
         return Ok(());
     }
     Err(NotNewerError {
--- a/tests/sockets/large_zones.rs
+++ b/tests/sockets/large_zones.rs
@@ -209,3 +209,27 @@
         site.providers.check();
     }
 }
+
+#[test]
+fn a_zone_cut_at_the_end_of_a_line_is_completed_by_the_whole_file_of_its_serial() {
+    // Nothing but another serial got out of the cut zone, and nothing told so.
+    for size in SIZES {
+        let mut site = Site::start();
+        let listed = [("p", site.addresses[0])];
+        let cut = [zone(8, &listed), others(size)].concat();
+        site.apply(&cut, 8);
+        let port = site.addresses[1].port();
+        let whole = format!("{cut}_raildeal._tcp.7 60 IN SRV 0 0 {port} q\n");
+        site.apply(&whole, 8);
+        let removed = cut.replace("_raildeal._tcp.7", "_raildeal._tcp.8");
+        fs::write(site.file(), removed).expect("written");
+        site.program.signal("HUP");
+        site.program.says("raise the serial");
+        let origin = name("x.example.");
+        let removal = update_message::delete_by_rdata(RecordSet::from(site.srv(0)), origin, false);
+        fs::write(site.file(), &whole).expect("written");
+        assert_eq!(site.update(removal), ResponseCode::NoError);
+        assert_eq!(site.used(&["m1", "m2"]), ["q", "q"], "{size}");
+        site.providers.check();
+    }
+}
