Hold no list of entries and no second text while a zone is read and kept

Change: entries are read one by one, a copy that is too large as text is not put together first, and a zone's text goes once it is kept. Records are held without spare room.

--- a/src/net/dns/zone.rs
+++ b/src/net/dns/zone.rs
@@ -69,18 +69,23 @@
 
     /// Parses a text, whose records may be such that the zone cannot be used.
     fn parse(text: &str, origin: Option<&Name>) -> Result<Self, ZoneError> {
-        let entries = zone_text::entries(text)?;
+        zone_text::check(text)?;
         let parser = Parser::new(text, None, origin.cloned());
-        let (_, sets) = parser.parse().map_err(|source| {
-            match zone_text::first_bad_line(text, origin, &entries) {
-                Some(line) => ZoneError::Line { line, source },
-                None => ZoneError::Text(source),
-            }
-        })?;
-        let records: Vec<Record> = sets
-            .into_values()
-            .flat_map(|set| set.into_parts().records)
-            .collect();
+        let (_, sets) =
+            parser
+                .parse()
+                .map_err(|source| match zone_text::first_bad_line(text, origin) {
+                    Some(line) => ZoneError::Line { line, source },
+                    None => ZoneError::Text(source),
+                })?;
+        let count = sets
+            .values()
+            .map(|set| set.records_without_rrsigs().count())
+            .sum();
+        let mut records: Vec<Record> = Vec::with_capacity(count);
+        for set in sets.into_values() {
+            records.extend(set.into_parts().records);
+        }
         let soas: Vec<&Record> = records
             .iter()
             .filter(|r| r.record_type() == RecordType::SOA)
@@ -135,7 +140,7 @@
     pub fn is_writable(&self, records: &[Record]) -> bool {
         let lines: Vec<String> = records.iter().map(line).collect();
         let text = format!("$ORIGIN {}\n{}\n", self.origin, lines.join("\n"));
-        if zone_text::entries(&text).is_err() {
+        if zone_text::check(&text).is_err() {
             return false;
         }
         let Ok((_, sets)) = Parser::new(text, None, None).parse() else {
--- a/src/net/dns/zone_cache.rs
+++ b/src/net/dns/zone_cache.rs
@@ -44,6 +44,8 @@
 const PLAIN_HEADER: &str = "raildeal zone 1 ";
 /// Beginning of the first line of a compressed copy, and of an identity alone.
 const COMPRESSED_HEADER: &str = "raildeal zone 2 ";
+/// Characters of the checksum in the first line.
+const CHECKSUM_BYTES: usize = 8;
 /// Largest text that is compressed, in bytes, so that reading it back takes bounded memory.
 const MAX_TEXT_BYTES: u64 = 16 << 20;
 /// Fraction of the folder's limit that a copy may take: one in so many.
@@ -190,10 +192,13 @@
     /// Writes the copy, unless the folder has this very copy already.
     fn write_copy(&self, identity: &ZoneIdentity, text: &str) -> Result<(), ZoneCacheError> {
         let largest_bytes = max_copy_bytes(self.folder_limit_bytes);
-        let mut copy = encode_plain(&self.zone_file_name(), text);
-        if copy.len() as u64 > largest_bytes {
-            copy = encode(&self.zone_file_name(), identity, &compress(text)?);
-        }
+        let zone_file = self.zone_file_name();
+        let plain_bytes = PLAIN_HEADER.len() + CHECKSUM_BYTES + zone_file.len() + text.len() + 2;
+        let copy = if plain_bytes as u64 <= largest_bytes {
+            with_header(PLAIN_HEADER, &[&zone_file, "\n", text].map(str::as_bytes))
+        } else {
+            encode(&zone_file, identity, &compress(text)?)
+        };
         if fs::read(self.path()).is_ok_and(|present| present == copy) {
             return self.note_use();
         }
@@ -287,20 +292,21 @@
     blocks.max(1) * BLOCK_BYTES
 }
 
-fn encode_plain(zone_file: &str, text: &str) -> Vec<u8> {
-    with_header(PLAIN_HEADER, format!("{zone_file}\n{text}").into_bytes())
-}
-
 fn encode(zone_file: &str, identity: &ZoneIdentity, compressed: &[u8]) -> Vec<u8> {
-    let mut content = format!("{zone_file}\n{identity}\n").into_bytes();
-    content.extend_from_slice(compressed);
-    with_header(COMPRESSED_HEADER, content)
+    let lines = format!("{zone_file}\n{identity}\n");
+    with_header(COMPRESSED_HEADER, &[lines.as_bytes(), compressed])
 }
 
-fn with_header(header_start: &str, content: Vec<u8>) -> Vec<u8> {
-    let checksum = crc32fast::hash(&content);
-    let mut bytes = format!("{header_start}{checksum:08x}\n").into_bytes();
-    bytes.extend(content);
+/// Returns a file of these parts, with the first line before them.
+fn with_header(header_start: &str, parts: &[&[u8]]) -> Vec<u8> {
+    let mut checksum = crc32fast::Hasher::new();
+    for part in parts {
+        checksum.update(part);
+    }
+    let mut bytes = format!("{header_start}{:08x}\n", checksum.finalize()).into_bytes();
+    for part in parts {
+        bytes.extend_from_slice(part);
+    }
     bytes
 }
 
--- a/src/net/dns/zone_text.rs
+++ b/src/net/dns/zone_text.rs
@@ -55,8 +55,7 @@
 }
 
 /// One entry: a directive or a record.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Entry {
+struct Entry {
     /// Line in which it begins, from 1.
     line: usize,
     /// Its bytes in the text, with the end of its last line.
@@ -69,50 +68,23 @@
     is_ttl_known: bool,
 }
 
-/// Splits a text into entries, and checks that each is complete.
+/// Checks that each entry of a text is complete.
 ///
 /// # Errors
 /// The first entry that is not complete.
-pub fn entries(text: &str) -> Result<Vec<Entry>, ZoneTextError> {
-    let mut scanner = Scanner {
-        text,
-        at: 0,
-        line: 1,
-    };
-    let mut entries = Vec::new();
-    let mut is_ttl_known = false;
-    while scanner.at < text.len() {
-        let scanned = scanner.next_entry()?;
-        let Some(first) = scanned.words.first() else {
-            continue;
-        };
-        let mut entry = Entry {
-            line: scanned.line,
-            bytes: scanned.bytes,
-            is_owner_omitted: scanned.begins_with_space,
-            origin: None,
-            is_ttl_known,
-        };
-        match *first {
-            "$INCLUDE" => return Err(ZoneTextError::Include { line: entry.line }),
-            "$ORIGIN" => entry.origin = scanned.words.get(1).map(|name| name.to_string()),
-            "$TTL" => is_ttl_known = true,
-            directive if directive.starts_with('$') => {}
-            _ => {
-                let owner_words = usize::from(!entry.is_owner_omitted);
-                is_ttl_known |= check_record(entry.line, &scanned.words[owner_words..])?;
-            }
-        }
-        entries.push(entry);
-    }
-    Ok(entries)
+pub fn check(text: &str) -> Result<(), ZoneTextError> {
+    let mut entries = Entries::new(text);
+    while entries.next()?.is_some() {}
+    Ok(())
 }
 
-/// Returns the line of the first entry that the parser of records does not take.
-pub fn first_bad_line(text: &str, origin: Option<&Name>, entries: &[Entry]) -> Option<usize> {
+/// Returns the line of the first entry that the parser of records does not take, of a text whose
+/// entries are complete.
+pub fn first_bad_line(text: &str, origin: Option<&Name>) -> Option<usize> {
     let mut origin = origin.cloned();
-    for entry in entries {
-        if !is_parsed(text, entry, origin.as_ref()) {
+    let mut entries = Entries::new(text);
+    while let Ok(Some(entry)) = entries.next() {
+        if !is_parsed(text, &entry, origin.as_ref()) {
             return Some(entry.line);
         }
         if let Some(name) = &entry.origin {
@@ -168,6 +140,57 @@
     }
 }
 
+/// The entries of a text, one after the other.
+struct Entries<'a> {
+    scanner: Scanner<'a>,
+    is_ttl_known: bool,
+}
+
+impl<'a> Entries<'a> {
+    fn new(text: &'a str) -> Self {
+        Entries {
+            scanner: Scanner {
+                text,
+                at: 0,
+                line: 1,
+            },
+            is_ttl_known: false,
+        }
+    }
+
+    /// Returns the next entry, and nothing at the end of the text.
+    fn next(&mut self) -> Result<Option<Entry>, ZoneTextError> {
+        while self.scanner.at < self.scanner.text.len() {
+            let scanned = self.scanner.next_entry()?;
+            if !scanned.words.is_empty() {
+                return self.entry(scanned).map(Some);
+            }
+        }
+        Ok(None)
+    }
+
+    fn entry(&mut self, scanned: Scanned) -> Result<Entry, ZoneTextError> {
+        let mut entry = Entry {
+            line: scanned.line,
+            bytes: scanned.bytes,
+            is_owner_omitted: scanned.begins_with_space,
+            origin: None,
+            is_ttl_known: self.is_ttl_known,
+        };
+        match scanned.words[0] {
+            "$INCLUDE" => return Err(ZoneTextError::Include { line: entry.line }),
+            "$ORIGIN" => entry.origin = scanned.words.get(1).map(|name| name.to_string()),
+            "$TTL" => self.is_ttl_known = true,
+            directive if directive.starts_with('$') => {}
+            _ => {
+                let owner_words = usize::from(!entry.is_owner_omitted);
+                self.is_ttl_known |= check_record(entry.line, &scanned.words[owner_words..])?;
+            }
+        }
+        Ok(entry)
+    }
+}
+
 /// An entry as it was scanned.
 struct Scanned<'a> {
     line: usize,
--- a/src/net/dns/zones.rs
+++ b/src/net/dns/zones.rs
@@ -125,9 +125,10 @@
         }
     }
 
-    /// Keeps the zone for the next process, before it counts.
-    fn keep(&self, cache: &ZoneCache) -> Result<(), ZoneCacheError> {
-        let kept = cache.write_text(&self.identity, &self.text)?;
+    /// Keeps the zone for the next process, before it counts. Its text is of no use after that.
+    fn keep(&mut self, cache: &ZoneCache) -> Result<(), ZoneCacheError> {
+        let text = std::mem::take(&mut self.text);
+        let kept = cache.write_text(&self.identity, &text)?;
         log_kept(Ok(kept));
         Ok(())
     }
@@ -204,8 +205,9 @@
         let read_last = self.file.get();
         let read = in_background(move || {
             let file = zone_file::read_text(&path)?;
-            let next = NextZone::of_file(&path, &file)?;
+            let mut next = NextZone::of_file(&path, &file)?;
             let has_grown = read_last.is_some_and(|last| last.has_grown_to(&file));
+            drop(file);
             check_succession(&next.identity, last.as_ref(), has_zone, has_grown)?;
             next.keep(&cache)
                 .map_err(NotAppliedError::EarlierZoneKept)?;
@@ -410,7 +412,7 @@
             return Ok(None);
         };
         self.check_file_is_not_ahead()?;
-        let next = NextZone::written(zone);
+        let mut next = NextZone::written(zone);
         self.replace(&next.text)?;
         if let Err(e) = next.keep(&self.cache) {
             log::error!("dns: update refused: {e}; an earlier zone is kept in the state folder");
