--- a/tests/sockets/large_zones.rs
+++ b/tests/sockets/large_zones.rs
@@ -6,6 +6,7 @@
 use hickory_proto::rr::RecordSet;
 use std::fs;
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// Sizes of zones; the last one is that of the largest fleet.
@@ -233,3 +234,48 @@
         site.providers.check();
     }
 }
+
+#[test]
+fn a_crash_at_each_step_of_a_change_leaves_a_zone_that_was_in_use_or_none() {
+    // What the page of 6 December 2026 on replaced zones says of each step.
+    for size in [SIZES[0], SIZES[2]] {
+        let mut site = Site::start();
+        let (old, new) = (sized(&site, 8, "p", size), sized(&site, 9, "q", size));
+        let copy_file = site.state().join("zone");
+        site.apply(&old, 8);
+        let old_copy = fs::read(&copy_file).expect("a copy");
+        site.apply(&new, 9);
+        let new_copy = fs::read(&copy_file).expect("a copy");
+        let torn = &new_copy[..new_copy.len() / 2];
+        // The copy, what stands beside it, and who is called beside a whole and a half zone file.
+        let steps: [(&[u8], &[u8], Option<&str>); 5] = [
+            (&old_copy, b"", Some("p")),
+            (&old_copy, torn, Some("p")),
+            (&new_copy, b"", Some("q")),
+            (torn, b"", None),
+            (b"", b"", None),
+        ];
+        for (copy, unfinished, called_beside_half) in steps {
+            site.end();
+            fs::write(&copy_file, copy).expect("written");
+            fs::write(site.state().join("zone.new"), unfinished).expect("written");
+            fs::write(site.file(), &new).expect("written");
+            site.start_again();
+            assert_eq!(site.used(&[&new_id()]), ["q"], "{size}");
+            site.end();
+            fs::write(&copy_file, copy).expect("written");
+            write_half(&site.file(), &new);
+            site.start_again();
+            match called_beside_half {
+                Some(host) => assert_eq!(site.used(&[&new_id()]), [host], "{size}"),
+                None => assert_logged(&mut site, "no endpoint is listed until SIGHUP"),
+            }
+        }
+    }
+}
+
+/// An id that no message had before.
+fn new_id() -> String {
+    static LAST: AtomicU32 = AtomicU32::new(0);
+    format!("id-{}", LAST.fetch_add(1, Ordering::Relaxed))
+}
