Write out the zone that a process begins with once, not twice

Cause: a start made the text of its zone for the identity, and once more for the copy: work of the same kind twice, some 16 ms each at 3,200 endpoints.

Change: both are made from one text.

--- a/src/net/dns/zones.rs
+++ b/src/net/dns/zones.rs
@@ -174,8 +174,10 @@
         };
         let mut last = first.last;
         if let Some(zone) = &first.zone {
-            last = Some(ZoneIdentity::new(zone, &zone.text()));
-            log_kept(cache.write(zone));
+            let text = zone.text();
+            let identity = ZoneIdentity::new(zone, &text);
+            log_kept(cache.write_text(&identity, &text));
+            last = Some(identity);
         }
         Ok(Rc::new(Zones {
             path: path.into(),
